--- a/src/main/java/oatrelay/Policy.java
+++ b/src/main/java/oatrelay/Policy.java
@@ -183,7 +183,7 @@
             if (!joinFetch(p, nowNanos)) {
                 fetch(p, nowNanos);
             }
-        } else if (!spendRetry()) {
+        } else if (!brokenConnection(ended.outcome(), fromOrigin) && !spendRetry()) {
             finish(p, retryAfter(false), nowNanos);
         } else if (fromOrigin) {
             fetch(p, nowNanos);
@@ -312,11 +312,7 @@
         boolean cache = !pool.isOrigin(node);
         boolean accepted = outcome == Outcome.GOOD || outcome == Outcome.MISS;
         pool.onEnded(node, outcome, ended.elapsedNanos(), nowNanos);
-        // A broken connection is no sign of strain: taken for one, a network that drops a few in a hundred
-        // starves the origin, so that misses stay misses, and moves keys. Covers restarts and idle closes
-        // that cross a request. Harms where a server sheds load by resets: time-outs must tell of it there.
-        if (outcome == Outcome.CXL || outcome == Outcome.NOP || outcome == Outcome.RST
-                || outcome == Outcome.NOCONN && cache) {
+        if (outcome == Outcome.CXL || outcome == Outcome.NOP || brokenConnection(outcome, !cache)) {
             return;
         }
         if (accepted && cache) {
@@ -331,6 +327,16 @@
                 nowNanos);
     }
 
+    /**
+     * A broken connection is no sign of strain: taken for one, a network that drops a few in a hundred
+     * starves the origin, so that misses stay misses, moves keys and uses up the retries that are kept short
+     * against an overload. Covers restarts and idle closes that cross a request. Harms where a server sheds
+     * load by resets: time-outs must tell of it there, and the attempt cap bounds the repeats.
+     */
+    private static boolean brokenConnection(Outcome outcome, boolean fromOrigin) {
+        return outcome == Outcome.RST || outcome == Outcome.NOCONN && !fromOrigin;
+    }
+
     /**
      * What a new connection adds to an answer's time. It is no strain of the cache: where set-up is slow or
      * few can be kept, c and the hedges would take it for a general overload.
--- a/src/test/java/oatrelay/PolicyTest.java
+++ b/src/test/java/oatrelay/PolicyTest.java
@@ -366,4 +366,17 @@
         }
         assertTrue(sends < 500 * 1.2 + 25, "twenty saved and one for each five requests: " + sends);
     }
+
+    /** The saved retries are kept short against an overload, and a broken connection is no sign of one. */
+    @Test
+    void brokenConnectionsDoNotUseUpTheRetries() {
+        for (int i = 0; i < 500; i++) {
+            long id = read(i % 20);
+            ends(id, 0, actions.lastServer, i % 2 == 0 ? Outcome.RST : Outcome.NOCONN, 1);
+            assertEquals(2, actions.count("send " + id + " "), "request " + i);
+            ends(id, 1, actions.lastServer, Outcome.GOOD, 1);
+            assertEquals(0, actions.count("refuse " + id), "request " + i);
+            actions.take();
+        }
+    }
 }
