--- a/src/main/java/oatrelay/CachePool.java
+++ b/src/main/java/oatrelay/CachePool.java
@@ -18,6 +18,8 @@
     private static final double LOAD_SECONDS = 3;
     /** Growth with each answer of the time that idle connections are kept; a refused one halves it. */
     private static final double HOLD_GROWTH = 1.005;
+    /** Part of that time kept at least: one who closes all that stands idle opens one for every request. */
+    private static final double HOLD_LEAST = 1 / 16.0;
 
     /** Hits that a kind's speed is judged by at most, and those that the listed sizes count for. */
     private static final int SPEED_HITS = 96, SPEED_PRIOR = 8;
@@ -295,7 +297,7 @@
                 boolean reached = outcome == Outcome.BAD || outcome == Outcome.LATE;
                 node.connected &= reached;
                 if (outcome == Outcome.NOCONN && elapsedNanos < settings.limits().connectTimeoutNanos() / 2) {
-                    holdPart /= 2;
+                    holdPart = Math.max(HOLD_LEAST, holdPart / 2);
                 }
                 if (++node.failures >= doubtAfter() || trial) {
                     doubt(node, reached ? LATE_DOUBTED_MOST : 1, nowNanos);
--- a/src/test/java/oatrelay/LargeFleetTest.java
+++ b/src/test/java/oatrelay/LargeFleetTest.java
@@ -133,6 +133,26 @@
         assertEquals(0, actions.count("let go "));
     }
 
+    /** Otherwise a network that breaks new ones has all that stand idle closed, and more have to be opened. */
+    @Test
+    void connectionsInUseAreKeptHoweverManyNewOnesBreak() {
+        FakeActions actions = new FakeActions();
+        Policy policy = proxy(actions);
+        ends(policy, read(policy, 1), 0, actions.lastServer, Outcome.GOOD, 20);
+        long kept = actions.lastServer;
+        for (long key = 0; key < 200; key++) {
+            long id = read(policy, key);
+            if (actions.lastServer == kept) {
+                ends(policy, id, 0, kept, Outcome.GOOD, 0);
+            } else {
+                ends(policy, id, 0, actions.lastServer, Outcome.NOCONN, 0);
+            }
+        }
+        now += 500 * MS;
+        policy.onTimer(now, 0);
+        assertEquals(0, actions.count("let go " + kept), "used half a second ago");
+    }
+
     @Test
     void slowNewConnectionsAreNoOverload() {
         FakeActions actions = new FakeActions();
