--- a/src/main/java/oatrelay/CachePool.java
+++ b/src/main/java/oatrelay/CachePool.java
@@ -9,6 +9,10 @@
 final class CachePool {
     /** Failures without a success between them that put a cache in doubt; fewer where fewer are sent it. */
     private static final int DOUBT_AFTER = 3;
+    /** Part of all connections to caches that may break before more broken ones are needed for a doubt. */
+    private static final double BROKEN_USUALLY = 0.1;
+    /** Attempts that this part is judged by. */
+    private static final double BROKEN_ATTEMPTS = 64;
     /** Part of the caches that may be in doubt before lateness puts a further one there. */
     static final double LATE_DOUBTED_MOST = 0.25;
     private static final long FIRST_PAUSE_NANOS = 1_000_000_000L, LONGEST_PAUSE_NANOS = 8_000_000_000L;
@@ -80,7 +84,7 @@
     /** The ready caches and origins. */
     private Node[] caches = {}, origins = {};
     private int doubtedCount;
-    private double load, holdPart = 1;
+    private double load, holdPart = 1, brokenPart;
     private long loadNanos;
 
     CachePool(Settings settings, Actions actions, SplittableRandom random, long patienceNanos,
@@ -182,6 +186,16 @@
         return (int) Math.max(1, Math.min(DOUBT_AFTER, Math.ceil(perPause * 2)));
     }
 
+    /**
+     * Where the network breaks connections at all caches, three in a row come by chance: as many count as are
+     * as unlikely there. Guards against doubting the well, whose keys would crowd the rest; harms where a
+     * cache dies meanwhile, by some more repeats.
+     */
+    private int doubtAfterBroken() {
+        return (int) Math.ceil(doubtAfter()
+                * Math.max(1, Math.log(BROKEN_USUALLY) / Math.log(Math.min(0.9, brokenPart))));
+    }
+
     /** The part of its full work that the node can do, by the slowest ramp that the settings allow. */
     double warmth(Node node, long nowNanos) {
         double part = (nowNanos - node.entry.bootNanos()) / (double) settings.obligations().coldNanos();
@@ -282,6 +296,10 @@
         boolean trial = node.trialOut && nowNanos - elapsedNanos >= node.trialNanos;
         node.usedNanos = nowNanos;
         node.connected |= outcome == Outcome.GOOD || outcome == Outcome.MISS;
+        boolean broken = outcome == Outcome.NOCONN || outcome == Outcome.RST;
+        if (!isOrigin(node) && outcome != Outcome.CXL && outcome != Outcome.NOP) {
+            brokenPart += ((broken ? 1 : 0) - brokenPart) / BROKEN_ATTEMPTS;
+        }
         switch (outcome) {
             case GOOD, MISS -> {
                 holdPart = Math.min(1, holdPart * HOLD_GROWTH);
@@ -294,13 +312,12 @@
                 }
             }
             case NOCONN, RST, LATE, BAD -> {
-                boolean reached = outcome == Outcome.BAD || outcome == Outcome.LATE;
-                node.connected &= reached;
+                node.connected &= !broken;
                 if (outcome == Outcome.NOCONN && elapsedNanos < settings.limits().connectTimeoutNanos() / 2) {
                     holdPart = Math.max(HOLD_LEAST, holdPart / 2);
                 }
-                if (++node.failures >= doubtAfter() || trial) {
-                    doubt(node, reached ? LATE_DOUBTED_MOST : 1, nowNanos);
+                if (++node.failures >= (broken ? doubtAfterBroken() : doubtAfter()) || trial) {
+                    doubt(node, broken ? 1 : LATE_DOUBTED_MOST, nowNanos);
                 }
             }
             case FULL -> node.quietSinceNanos = nowNanos;
--- a/src/test/java/oatrelay/PolicyTest.java
+++ b/src/test/java/oatrelay/PolicyTest.java
@@ -1,6 +1,7 @@
 package oatrelay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -221,6 +222,40 @@
         }
     }
 
+    /** Reads one key in a busy time, and again after its cache broke three of its reads in a row. */
+    private boolean keepsItsHomeAfterThreeBroken(int oneBreaksIn) {
+        for (long key = 0; key < 600; key++) {
+            long id = read(key);
+            int attempt = 0;
+            if (key % oneBreaksIn == 0) {
+                ends(id, attempt++, actions.lastServer, Outcome.RST, 1);
+            }
+            ends(id, attempt, actions.lastServer, Outcome.GOOD, 1);
+        }
+        now += 1000 * MS;
+        long id = read(7);
+        long home = actions.lastServer;
+        ends(id, 0, home, Outcome.GOOD, 1);
+        for (int i = 0; i < 3; i++) {
+            id = read(7);
+            assertEquals(home, actions.lastServer, "broken " + i + " times");
+            ends(id, 0, home, Outcome.RST, 1);
+            ends(id, 1, actions.lastServer, Outcome.GOOD, 1);
+        }
+        read(7);
+        return actions.lastServer == home;
+    }
+
+    @Test
+    void brokenConnectionsDoubtTheCacheThatAloneHasThem() {
+        assertFalse(keepsItsHomeAfterThreeBroken(1000));
+    }
+
+    @Test
+    void brokenConnectionsEverywhereDoubtNoCache() {
+        assertTrue(keepsItsHomeAfterThreeBroken(3));
+    }
+
     @Test
     void generalOverloadDoubtsFewCachesForLateness() {
         for (long key = 0; key < 60; key++) {
