--- a/src/main/java/oatrelay/Policy.java
+++ b/src/main/java/oatrelay/Policy.java
@@ -48,16 +48,19 @@
         final Request request;
         final RequestClass kind;
         final long usefulUntilNanos;
+        /** Its client waits for less than the time after which a cache's silence counts against it. */
+        final boolean hasty;
         final double cost;
         final List<Attempt> attempts = new ArrayList<>(2);
         final List<Node> used = new ArrayList<>(2);
         int out;
         boolean done, fetching, waiting, withinShare;
 
-        Pending(Request request, RequestClass kind, long usefulUntilNanos, double cost) {
+        Pending(Request request, RequestClass kind, long usefulUntilNanos, boolean hasty, double cost) {
             this.request = request;
             this.kind = kind;
             this.usefulUntilNanos = usefulUntilNanos;
+            this.hasty = hasty;
             this.cost = cost;
         }
 
@@ -135,7 +138,9 @@
             meanWork += (request.workNanos() - meanWork) * (meanWork == 0 ? 1 : 0.01);
             cost = request.workNanos() / meanWork;
         }
-        Pending p = new Pending(request, kind, usefulUntil(nowNanos, request, kind), cost);
+        long usefulUntilNanos = usefulUntil(nowNanos, request, kind);
+        boolean hasty = usefulUntilNanos - nowNanos < patienceNanos(false);
+        Pending p = new Pending(request, kind, usefulUntilNanos, hasty, cost);
         pending.put(request.id(), p);
         retryBudget = Math.min(retryMost, retryBudget + RETRY_PER_REQUEST);
         if (request.write()) {
@@ -158,7 +163,10 @@
         Attempt attempt = p == null || ended.attempt() < 0 || ended.attempt() >= p.attempts.size() ? null
                 : p.attempts.get(ended.attempt());
         if (node != null) {
-            learn(node, ended, attempt != null && attempt.connects, p == null ? 1 : p.cost, nowNanos);
+            // A time-out tells of the client, not of the server, where the client hardly waited.
+            Outcome told = ended.outcome() == Outcome.LATE && p != null && p.hasty ? Outcome.CXL
+                    : ended.outcome();
+            learn(node, ended, told, attempt != null && attempt.connects, p == null ? 1 : p.cost, nowNanos);
         }
         pool.closeIdle(nowNanos);
         if (attempt == null || attempt.ended != null) {
@@ -307,8 +315,8 @@
         return gate.offer(p.request.tenant(), window, nowNanos);
     }
 
-    private void learn(Node node, Ended ended, boolean connects, double cost, long nowNanos) {
-        Outcome outcome = ended.outcome();
+    private void learn(Node node, Ended ended, Outcome outcome, boolean connects, double cost,
+            long nowNanos) {
         boolean cache = !pool.isOrigin(node);
         boolean accepted = outcome == Outcome.GOOD || outcome == Outcome.MISS;
         pool.onEnded(node, outcome, ended.elapsedNanos(), nowNanos);
--- a/src/test/java/oatrelay/PolicyTest.java
+++ b/src/test/java/oatrelay/PolicyTest.java
@@ -414,4 +414,24 @@
             actions.take();
         }
     }
+
+    /** A client that waits for less than patience has given up; that is no sign of what its cache can do. */
+    @Test
+    void timeOutsOfHastyClientsTellNothingOfTheCaches() {
+        Map<Long, Long> homes = new HashMap<>();
+        for (long key = 0; key < 40; key++) {
+            ends(read(key), 0, actions.lastServer, Outcome.GOOD, 5);
+            homes.put(key, actions.lastServer);
+        }
+        for (long i = 0; i < 400; i++) {
+            long hasty = nextId++;
+            policy.onRequest(now, new Request(hasty, READ, 0, true, i % 40, now + 60 * MS, 0, false));
+            ends(hasty, 0, actions.lastServer, Outcome.LATE, 55);
+            long patient = read(i % 40);
+            assertEquals(1, actions.count("send " + patient + " "), "read " + i + " is not refused");
+            assertEquals(homes.get(i % 40), actions.lastServer, "read " + i + " goes where its key is");
+            ends(patient, 0, actions.lastServer, Outcome.GOOD, 5);
+            actions.take();
+        }
+    }
 }
