--- a/src/main/java/oatrelay/proxy/ClientConnection.java
+++ b/src/main/java/oatrelay/proxy/ClientConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -21,7 +22,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One client connection, with at most one request in the table, answered in the order of its requests. */
-final class ClientConnection extends SimpleChannelInboundHandler<Object> implements RequestTable.Exchange {
+final class ClientConnection extends SimpleChannelInboundHandler<Object> implements RequestHandler.Reply {
     /** Requests that may have been sent ahead of their answers before no more is read. */
     private static final int AHEAD_MOST = 8;
     /** How long a connection's first request, or one that was begun, may take to come. */
@@ -31,7 +32,7 @@
     enum Use { SILENT, IDLE, PART, BUSY }
 
     private final ClientListener listener;
-    private final RequestTable table;
+    private final RequestHandler handler;
     private final ProxyClock clock;
     private final Channel channel;
     private final RequestDecoder decoder;
@@ -45,14 +46,14 @@
     private boolean busy;
     private boolean keepAlive;
     private boolean closing;
-    /** The table's number of the request in hand, or -1. */
-    private long taken = -1;
+    /** Gives up the request in hand; null while there is none. */
+    private Runnable leave;
 
-    ClientConnection(ClientListener listener, RequestTable table, ProxyClock clock, Channel channel,
+    ClientConnection(ClientListener listener, RequestHandler handler, ProxyClock clock, Channel channel,
             RequestDecoder decoder, RequestCollector collector, RequestCollector.Budget budget) {
         super(false);
         this.listener = listener;
-        this.table = table;
+        this.handler = handler;
         this.clock = clock;
         this.channel = channel;
         this.decoder = decoder;
@@ -149,12 +150,8 @@
                         : listener.takesMore() ? 200 : 503);
                 return;
             }
-            RequestTable.Arrival arrival = listener.reader().arrival(request);
-            if (table.isOpen(arrival.upstream().requestId())) {
-                throw new Rejection(HttpResponseStatus.CONFLICT);
-            }
-            long id = table.take(arrival, this);
-            taken = busy ? id : -1;
+            Runnable givesUp = handler.handle(request, this);
+            leave = busy ? givesUp : null;
         } catch (Rejection e) {
             reject(e.status);
         }
@@ -189,7 +186,7 @@
     public void failed(int status) {
         FullHttpResponse response = response(HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER);
         if (status == HttpResponseStatus.METHOD_NOT_ALLOWED.code()) {
-            response.headers().set(HttpHeaderNames.ALLOW, "GET, PUT");
+            response.headers().set(HttpHeaderNames.ALLOW, handler.allow());
         }
         write(response);
     }
@@ -207,10 +204,17 @@
         return !keepAlive || listener.ending();
     }
 
-    private void write(FullHttpResponse response) {
+    @Override
+    public ChannelFuture answer(HttpHeaders headers, ByteBuf body) {
+        FullHttpResponse response = response(HttpResponseStatus.OK, body);
+        response.headers().add(headers);
+        return write(response);
+    }
+
+    private ChannelFuture write(FullHttpResponse response) {
         closing |= last();
         busy = false;
-        taken = -1;
+        leave = null;
         freeSinceNanos = clock.nowNanos();
         ChannelFuture written = channel.writeAndFlush(response);
         if (closing) {
@@ -219,6 +223,7 @@
         } else if (!ahead.isEmpty()) {
             channel.eventLoop().execute(this::next);
         }
+        return written;
     }
 
     @Override
@@ -227,9 +232,9 @@
         closing = true;
         ahead.forEach(this::drop);
         ahead.clear();
-        if (taken >= 0) {
-            table.gone(taken);
-            taken = -1;
+        if (leave != null) {
+            leave.run();
+            leave = null;
         }
     }
 
--- a/src/main/java/oatrelay/proxy/ClientListener.java
+++ b/src/main/java/oatrelay/proxy/ClientListener.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.SocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -26,14 +27,14 @@
 
     private final EventLoop loop;
     private final ProxyClock clock;
-    private final RequestTable table;
     private final RequestReader reader;
     private final BooleanSupplier ready;
     private final int connectionsMost;
     private final RequestCollector.Budget budget = new RequestCollector.Budget();
     /** In the order of their opening. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    private Channel server;
+    private final List<Channel> servers = new ArrayList<>();
+    private boolean sweeping;
     private boolean draining;
     private boolean ending;
 
@@ -41,14 +42,17 @@
             LongSupplier lag, int connectionsMost) {
         this.loop = loop;
         this.clock = clock;
-        this.table = table;
         this.reader = new RequestReader(clock, table.instance(), lag);
         this.ready = ready;
         this.connectionsMost = connectionsMost;
     }
 
-    ChannelFuture bind(SocketAddress address) {
-        loop.scheduleWithFixedDelay(this::endSlow, SWEEP_NANOS, SWEEP_NANOS, TimeUnit.NANOSECONDS);
+    /** All ports together hold the clients' share of the descriptors, and end alike. */
+    ChannelFuture bind(SocketAddress address, RequestHandler handler) {
+        if (!sweeping) {
+            sweeping = true;
+            loop.scheduleWithFixedDelay(this::endSlow, SWEEP_NANOS, SWEEP_NANOS, TimeUnit.NANOSECONDS);
+        }
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -57,21 +61,21 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         if (connections.size() < connectionsMost || makeRoom()) {
-                            install(channel);
+                            install(channel, handler);
                         } else {
                             channel.close();
                         }
                     }
                 }).bind(address);
-        server = bound.channel();
+        servers.add(bound.channel());
         return bound;
     }
 
-    void install(Channel channel) {
+    void install(Channel channel, RequestHandler handler) {
         RequestDecoder decoder = new RequestDecoder(clock);
         RequestCollector collector = new RequestCollector(budget);
         ClientConnection connection =
-                new ClientConnection(this, table, clock, channel, decoder, collector, budget);
+                new ClientConnection(this, handler, clock, channel, decoder, collector, budget);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), collector, connection);
         connections.add(connection);
     }
@@ -133,7 +137,7 @@
 
     /** Takes no more connections. */
     void closeServer() {
-        server.close();
+        servers.forEach(Channel::close);
     }
 
     /** From now on each answer ends its connection, and those that carry no request end at once. */
--- a/src/main/java/oatrelay/proxy/ProxyConfig.java
+++ b/src/main/java/oatrelay/proxy/ProxyConfig.java
@@ -12,8 +12,8 @@
 import oatrelay.wire.WireHost;
 
 /** What the deployment tells this proxy. */
-record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Json known, Json settings) {
+public record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, Json known, Json settings) {
     /** Descriptors that the platform grants at least. */
     static final int SOCKETS_LEAST = 256;
 
@@ -65,7 +65,7 @@
     }
 
     /** A literal address and a port, as {@code 10.0.0.4:8081}: there is no DNS, and a look-up would block. */
-    static InetSocketAddress parseAddress(String hostPort) {
+    public static InetSocketAddress parseAddress(String hostPort) {
         int colon = hostPort.lastIndexOf(':');
         String host = colon < 0 ? "" : hostPort.substring(0, colon);
         if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
--- a/src/main/java/oatrelay/proxy/ProxyMain.java
+++ b/src/main/java/oatrelay/proxy/ProxyMain.java
@@ -1,5 +1,6 @@
 package oatrelay.proxy;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -12,6 +13,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
@@ -19,6 +21,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import oatrelay.proxy.multiget.MultiGet;
+import oatrelay.proxy.settings.SettingsException;
 import oatrelay.wire.Instance;
 import oatrelay.wire.Json;
 import oatrelay.wire.WireHost;
@@ -53,8 +57,13 @@
     private final EventLoop loop = group.next();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final ProxyClock clock = new ProxyClock();
+    private final Features features;
     private RequestTable table;
     private ClientListener clients;
+    /** Null where that port is off. */
+    private MultiGet multiGet;
+    /** Where the ports beside the plain one are bound, by the names of their settings. */
+    private final Map<String, SocketAddress> sidePorts = new ConcurrentHashMap<>();
     private MembershipWatch watch;
     private boolean ready;
     private final AtomicInteger reloads = new AtomicInteger();
@@ -62,18 +71,24 @@
     private int lastReload;
 
     ProxyMain() {
+        this(Features.none());
+    }
+
+    ProxyMain(Features features) {
+        this.features = features;
         NETTY_LOG.setLevel(Level.SEVERE);
     }
 
     public static void main(String[] args) throws IOException, InterruptedException {
         if (args.length == 1 && args[0].equals("wirehost")) {
             WireHost.main(args);
-        } else if (args.length == 1 && args[0].equals("serve")) {
-            serve();
+        } else if (args.length > 0 && args[0].equals("serve") && Features.Arguments.parse(args) != null) {
+            serve(Features.Arguments.parse(args));
         } else if (args.length == 1 && args[0].equals("rehearse")) {
             rehearse();
         } else {
-            System.err.println("usage: oatrelay serve      (one proxy, configured by EDGE_CONFIG)\n"
+            System.err.println("usage: oatrelay serve [--config FILE]\n"
+                    + "            (one proxy, set up by EDGE_CONFIG and the operator's FILE)\n"
                     + "       oatrelay rehearse   (starts one on loopback and ends: loads what serve needs)\n"
                     + "       oatrelay wirehost   (reads events on standard input, writes actions)");
             System.exit(2);
@@ -81,14 +96,14 @@
     }
 
     @SuppressWarnings("sunapi") // The only way to SIGHUP, which would end the JVM.
-    private static void serve() throws InterruptedException {
+    private static void serve(Features.Arguments arguments) throws InterruptedException {
         try {
-            ProxyMain main = new ProxyMain();
+            ProxyMain main = new ProxyMain(Features.load(arguments));
             ProxyConfig config = ProxyConfig.load(System.getenv());
             Signal.handle(new Signal("HUP"), signal -> main.reload(System.getenv()));
             main.start(config);
             Runtime.getRuntime().addShutdownHook(new Thread(main::drain, "drain"));
-        } catch (ProxyConfig.ConfigException e) {
+        } catch (ProxyConfig.ConfigException | SettingsException e) {
             exit(e.getMessage());
         } catch (ExecutionException e) {
             exit("cannot start: " + e.getCause().getMessage());
@@ -142,18 +157,44 @@
         clients = new ClientListener(loop, clock, table, () -> ready, new LoopLag(loop, clock)::nanos,
                 shares.clients());
         io.netty.util.concurrent.Promise<SocketAddress> bound = loop.newPromise();
-        clients.bind(config.listen()).addListener((io.netty.channel.ChannelFuture f) -> {
-            if (f.isSuccess()) {
+        bindSidePorts(bound);
+        SingleRequests plain = new SingleRequests(clients.reader(), table);
+        clients.bind(config.listen(), plain).addListener((ChannelFuture f) -> {
+            if (!f.isSuccess()) {
+                bound.tryFailure(f.cause());
+            } else if (bound.trySuccess(f.channel().localAddress())) {
                 ready = true;
                 Log.line(config.name() + " serves on " + f.channel().localAddress());
-                bound.setSuccess(f.channel().localAddress());
-            } else {
-                bound.setFailure(f.cause());
             }
         });
         return bound;
     }
 
+    /** Before the plain port, as on the loop one bind ends before the next: it is ready with all or none. */
+    private void bindSidePorts(io.netty.util.concurrent.Promise<SocketAddress> bound) {
+        InetSocketAddress multiGetAt = features.multiGet().listen();
+        if (multiGetAt != null) {
+            multiGet = new MultiGet(loop, clients.reader(), table, features.multiGet().maxKeys());
+            sidePort("multiget.listen", multiGetAt, clients.bind(multiGetAt, multiGet), bound);
+        }
+    }
+
+    private void sidePort(String name, SocketAddress address, ChannelFuture binding,
+            io.netty.util.concurrent.Promise<SocketAddress> bound) {
+        binding.addListener(f -> {
+            if (f.isSuccess()) {
+                sidePorts.put(name, binding.channel().localAddress());
+            } else {
+                bound.tryFailure(new IOException(name + " " + address + ": " + f.cause().getMessage()));
+            }
+        });
+    }
+
+    /** Where a port beside the plain one is bound, by the name of its setting. */
+    InetSocketAddress sidePort(String name) {
+        return (InetSocketAddress) sidePorts.get(name);
+    }
+
     /**
      * SIGHUP: reads the configuration again, on the caller's thread, and watches the address of discovery
      * that it names. The rest holds until the next start. Where two come at once, the one read last counts.
@@ -176,6 +217,19 @@
         }
     }
 
+    /** How many requests are owed an answer. */
+    int owed() throws InterruptedException, ExecutionException {
+        return loop.submit(() -> table.owed()).get();
+    }
+
+    private void answered() {
+        if (multiGet == null) {
+            drained.countDown();
+        } else {
+            multiGet.whenWritten(drained::countDown);
+        }
+    }
+
     /** Ends at once, with whatever is in hand. */
     void stop() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
@@ -196,7 +250,7 @@
             loop.schedule(clients::closeServer, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
                 clients.endConnections();
-                table.whenEmpty(drained::countDown);
+                table.whenEmpty(this::answered);
             }, Math.max(ACCEPT_ON_MS, answeredMs - ASKED_BEFORE_MS), TimeUnit.MILLISECONDS);
         });
         try {
--- a/src/main/java/oatrelay/proxy/Rejection.java
+++ b/src/main/java/oatrelay/proxy/Rejection.java
@@ -6,12 +6,12 @@
  * What is wrong with a client's request, as the status that says so. It travels down the connection in the
  * request's place, so that its answer keeps its turn behind those of requests before it.
  */
-final class Rejection extends Exception {
+public final class Rejection extends Exception {
     private static final long serialVersionUID = 1L;
 
-    final transient HttpResponseStatus status;
+    public final transient HttpResponseStatus status;
 
-    Rejection(HttpResponseStatus status) {
+    public Rejection(HttpResponseStatus status) {
         super(status.toString(), null, false, false);
         this.status = status;
     }
--- /dev/null
+++ b/src/main/java/oatrelay/proxy/RequestHandler.java
@@ -0,0 +1,25 @@
+package oatrelay.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Takes what comes on one of the clients' ports, on the loop. */
+public interface RequestHandler {
+    /** The client's side of one request: exactly one of its calls is made, and only once. */
+    interface Reply extends RequestTable.Exchange {
+        /** Answers 200 with a body of the port's own; the future tells when it has been written. */
+        ChannelFuture answer(HttpHeaders headers, ByteBuf body);
+    }
+
+    /** The methods that the port takes, for the answer 405. */
+    String allow();
+
+    /**
+     * The request is the caller's and holds only for the call. The reply may be made within it.
+     *
+     * @return gives the request up, for a client that leaves before the reply
+     */
+    Runnable handle(FullHttpRequest request, Reply reply) throws Rejection;
+}
--- a/src/main/java/oatrelay/proxy/RequestReader.java
+++ b/src/main/java/oatrelay/proxy/RequestReader.java
@@ -16,7 +16,7 @@
 import oatrelay.wire.WireHost;
 
 /** Makes of a client's request what the module is told, or says what is wrong with it. */
-final class RequestReader {
+public final class RequestReader {
     /**
      * Kept between the module's deadline and the client's: the answer has to be back before the client's time
      * is up, and that runs from its sending, before we read it.
@@ -60,7 +60,7 @@
         }
     }
 
-    RequestTable.Arrival arrival(FullHttpRequest request) throws Rejection {
+    public RequestTable.Arrival arrival(FullHttpRequest request) throws Rejection {
         String path = request.uri().split("[?#]", 2)[0];
         int classEnd = path.indexOf('/', 1);
         String className = !path.startsWith("/") ? ""
@@ -103,6 +103,11 @@
                         ByteBufUtil.getBytes(request.content())));
     }
 
+    /** Whether the request's time is over for the module, which ends it a quantum before its deadline. */
+    public boolean timeIsUp(RequestTable.Arrival arrival) {
+        return clock.nowNanos() >= arrival.deadlineNanos() - instance.settings.quantumNanos();
+    }
+
     private static long number(FullHttpRequest request, CharSequence header, long otherwise)
             throws Rejection {
         String text = request.headers().get(header);
--- a/src/main/java/oatrelay/proxy/RequestTable.java
+++ b/src/main/java/oatrelay/proxy/RequestTable.java
@@ -21,9 +21,9 @@
  * The requests that are owed an answer, with their attempts and deadlines, and the module's only caller.
  * Every request gets exactly one final answer: the module's, or at its deadline one of this table's own.
  */
-final class RequestTable implements Api.Actions {
+public final class RequestTable implements Api.Actions {
     /** What a client is owed. Exactly one of the calls is made for each request, and only once. */
-    interface Exchange {
+    public interface Exchange {
         void served(byte[] body, String contentType);
 
         void refused(long retryAfterNanos);
@@ -32,8 +32,8 @@
     }
 
     /** What came in, with the module's numbers for its names. */
-    record Arrival(int requestClass, int tenant, boolean keyed, long key, long deadlineNanos, long workNanos,
-            UpstreamRequest upstream) {
+    public record Arrival(int requestClass, int tenant, boolean keyed, long key, long deadlineNanos,
+            long workNanos, UpstreamRequest upstream) {
     }
 
     /** One request until it is answered and all its attempts have ended. */
@@ -112,7 +112,7 @@
     }
 
     /** Whether a request with this id of the client's is open, or was so a moment ago. */
-    boolean isOpen(String clientId) {
+    public boolean isOpen(String clientId) {
         return clientIds.holds(clientId, clock.nowNanos());
     }
 
@@ -157,7 +157,7 @@
     }
 
     /** @return the request's number, for {@link #gone} */
-    long take(Arrival arrival, Exchange exchange) {
+    public long take(Arrival arrival, Exchange exchange) {
         long id = ++lastId;
         Open open = new Open(id, arrival.upstream(), arrival.deadlineNanos(), exchange);
         requests.put(id, open);
@@ -181,7 +181,7 @@
     }
 
     /** The client has gone: nothing is owed. */
-    void gone(long id) {
+    public void gone(long id) {
         Open open = requests.get(id);
         if (open != null && !open.answered) {
             answer(open, () -> { });
--- /dev/null
+++ b/src/main/java/oatrelay/proxy/SingleRequests.java
@@ -0,0 +1,30 @@
+package oatrelay.proxy;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/** The plain port: each request is one of the table's. */
+final class SingleRequests implements RequestHandler {
+    private final RequestReader reader;
+    private final RequestTable table;
+
+    SingleRequests(RequestReader reader, RequestTable table) {
+        this.reader = reader;
+        this.table = table;
+    }
+
+    @Override
+    public String allow() {
+        return "GET, PUT";
+    }
+
+    @Override
+    public Runnable handle(FullHttpRequest request, Reply reply) throws Rejection {
+        RequestTable.Arrival arrival = reader.arrival(request);
+        if (table.isOpen(arrival.upstream().requestId())) {
+            throw new Rejection(HttpResponseStatus.CONFLICT);
+        }
+        long id = table.take(arrival, reply);
+        return () -> table.gone(id);
+    }
+}
--- a/src/main/java/oatrelay/proxy/WarmUp.java
+++ b/src/main/java/oatrelay/proxy/WarmUp.java
@@ -51,7 +51,8 @@
         table.tell(nowNanos -> instance.policy.onList(nowNanos, ListKind.RESTORED, List.of(
                 new Server(CACHE, 0, 1, 0, Stage.IN, originKind + 1, 0),
                 new Server(ORIGIN, 0, 1, 0, Stage.IN, originKind, 0))));
-        new ClientListener(loop, clock, table, () -> true, () -> 0, 1).install(client);
+        ClientListener clients = new ClientListener(loop, clock, table, () -> true, () -> 0, 1);
+        clients.install(client, new SingleRequests(clients.reader(), table));
     }
 
     /** @return how many requests had no answer, which leaves the program cold; 0 as a rule */
--- /dev/null
+++ b/src/main/java/oatrelay/proxy/multiget/MultiGet.java
@@ -0,0 +1,134 @@
+package oatrelay.proxy.multiget;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
+import io.netty.util.concurrent.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import oatrelay.proxy.Headers;
+import oatrelay.proxy.Rejection;
+import oatrelay.proxy.RequestHandler;
+import oatrelay.proxy.RequestReader;
+import oatrelay.proxy.RequestTable;
+
+/**
+ * The multi-get port: several reads in one round trip. Each line is an ordinary request of the table, under
+ * its own id and within the time that the client gave for all of them.
+ */
+public final class MultiGet implements RequestHandler {
+    private static final String CLASS = "account-read";
+    private static final String PATH = "/multi/" + CLASS;
+    private static final AsciiString PARTIAL = AsciiString.cached("X-Partial");
+    private static final int HELD_MOST_BYTES = 4 << 20;
+    /** A client that does not read its answer holds memory that other multi-gets lack. */
+    private static final long WRITE_MOST_MS = 5000;
+
+    private final EventLoop loop;
+    private final RequestReader reader;
+    private final RequestTable table;
+    private final int maxKeys;
+    private final AnswerBytes bytes;
+    /** Answers on their way to a client. */
+    private int unwritten;
+    private Runnable whenWritten;
+
+    public MultiGet(EventLoop loop, RequestReader reader, RequestTable table, int maxKeys) {
+        this(loop, reader, table, maxKeys, new AnswerBytes(HELD_MOST_BYTES));
+    }
+
+    MultiGet(EventLoop loop, RequestReader reader, RequestTable table, int maxKeys, AnswerBytes bytes) {
+        this.loop = loop;
+        this.reader = reader;
+        this.table = table;
+        this.maxKeys = maxKeys;
+        this.bytes = bytes;
+    }
+
+    @Override
+    public String allow() {
+        return "POST";
+    }
+
+    /** Reads every line before the first goes out: a body that is wrong somewhere has had no effect. */
+    @Override
+    public Runnable handle(FullHttpRequest request, Reply reply) throws Rejection {
+        if (!request.uri().equals(PATH)) {
+            throw new Rejection(HttpResponseStatus.NOT_FOUND);
+        }
+        if (!request.method().equals(HttpMethod.POST)) {
+            throw new Rejection(HttpResponseStatus.METHOD_NOT_ALLOWED);
+        }
+        List<RequestTable.Arrival> arrivals = new ArrayList<>();
+        for (Line line : Line.parse(request.content().toString(StandardCharsets.ISO_8859_1), maxKeys)) {
+            if (table.isOpen(line.id())) {
+                throw new Rejection(HttpResponseStatus.BAD_REQUEST);
+            }
+            arrivals.add(reader.arrival(single(request, line)));
+        }
+        Batch batch = new Batch(arrivals, bytes, reader::timeIsUp, whole -> answer(whole, reply));
+        batch.send(table);
+        return () -> batch.leave(table);
+    }
+
+    /** The line as its client would have sent it alone. */
+    private static FullHttpRequest single(FullHttpRequest request, Line line) {
+        FullHttpRequest single = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                "/" + CLASS + "/" + line.key());
+        single.headers().set(Headers.REQUEST_ID, line.id());
+        for (AsciiString name : List.of(Headers.TENANT, Headers.TIMEOUT_MS)) {
+            String value = request.headers().get(name);
+            if (value != null) {
+                single.headers().set(name, value);
+            }
+        }
+        return single;
+    }
+
+    private void answer(Batch batch, Reply reply) {
+        HttpHeaders headers = new DefaultHttpHeaders()
+                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_OCTET_STREAM);
+        if (batch.partial()) {
+            headers.set(PARTIAL, "1");
+        }
+        if (batch.retryAfterNanos() > 0) {
+            headers.set(HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.3f", batch.retryAfterNanos() * 1e-9));
+        }
+        unwritten++;
+        ChannelFuture written = reply.answer(headers, batch.answer());
+        Future<?> limit = loop.schedule(() -> written.channel().close(),
+                WRITE_MOST_MS, TimeUnit.MILLISECONDS);
+        written.addListener(f -> {
+            limit.cancel(false);
+            batch.release();
+            unwritten--;
+            checkWritten();
+        });
+    }
+
+    /** Runs once when no answer is on its way. */
+    public void whenWritten(Runnable action) {
+        whenWritten = action;
+        checkWritten();
+    }
+
+    private void checkWritten() {
+        if (unwritten == 0 && whenWritten != null) {
+            whenWritten.run();
+            whenWritten = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/oatrelay/proxy/multiget/MultiGetSettings.java
@@ -0,0 +1,15 @@
+package oatrelay.proxy.multiget;
+
+import java.net.InetSocketAddress;
+import oatrelay.proxy.settings.Section;
+import oatrelay.proxy.settings.SettingsException;
+
+/** The multi-get port; {@code listen} is null where the port is off. */
+public record MultiGetSettings(InetSocketAddress listen, int maxKeys) {
+    /** What fits a body of 64 KiB with ids and keys as they are in practice. */
+    private static final int KEYS_MOST = 1024;
+
+    public static MultiGetSettings read(Section section) throws SettingsException {
+        return new MultiGetSettings(section.address("listen"), section.whole("max_keys", 32, 1, KEYS_MOST));
+    }
+}
--- /dev/null
+++ b/src/main/java/oatrelay/proxy/settings/Section.java
@@ -0,0 +1,68 @@
+package oatrelay.proxy.settings;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import oatrelay.proxy.ProxyConfig;
+
+/** One table of the operator's file. Every getter names file and key when the value is not of its kind. */
+public final class Section {
+    private final String file;
+    private final String table;
+    private final Map<String, Object> values;
+    private final Set<String> read = new HashSet<>();
+
+    Section(String file, String table, Map<String, Object> values) {
+        this.file = file;
+        this.table = table;
+        this.values = values;
+    }
+
+    private Object value(String key) {
+        read.add(key);
+        return values.get(key);
+    }
+
+    public SettingsException wrong(String key, String what) {
+        return new SettingsException(file + ": " + table + "." + key + " " + what);
+    }
+
+    public int whole(String key, int otherwise, int least, int most) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Integer || value instanceof Long) {
+            long number = ((Number) value).longValue();
+            if (number >= least && number <= most) {
+                return (int) number;
+            }
+        }
+        throw wrong(key, "must be a whole number from " + least + " to " + most);
+    }
+
+    /** A literal address and a port; null where none is given. */
+    public InetSocketAddress address(String key) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return null;
+        }
+        try {
+            if (value instanceof String text) {
+                return ProxyConfig.parseAddress(text);
+            }
+        } catch (IllegalArgumentException e) {
+            // Said below, as for a value of another type.
+        }
+        throw wrong(key, "must be a literal address and a port, as \"127.0.0.1:9001\"");
+    }
+
+    void refuseUnread() throws SettingsException {
+        for (String key : values.keySet()) {
+            if (!read.contains(key)) {
+                throw new SettingsException(file + ": unknown key " + table + "." + key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/oatrelay/proxy/settings/SettingsException.java
@@ -0,0 +1,10 @@
+package oatrelay.proxy.settings;
+
+/** The operator's file is missing or broken; the message is for the operator, one line with file and key. */
+public final class SettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public SettingsException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/test/java/oatrelay/proxy/multiget/MultiGetTest.java
@@ -0,0 +1,222 @@
+package oatrelay.proxy.multiget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import oatrelay.proxy.FakeServer;
+import oatrelay.proxy.Features;
+import oatrelay.proxy.Fixture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Multi-gets over loopback sockets, with three cache nodes and an origin. */
+@Timeout(60)
+class MultiGetTest {
+    private static final int MAX_KEYS = 16;
+    /** Few enough for the connects that one node may have at once. */
+    private static final int KEYS = 6;
+    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    private final FakeServer second = new FakeServer();
+    private final FakeServer third = new FakeServer();
+    private Fixture proxy;
+
+    @BeforeEach
+    void start() throws Exception {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
+        proxy = new Fixture(List.of(Fixture.entry("c-2", second, "cache", "SERVING"),
+                Fixture.entry("c-3", third, "cache", "SERVING")), Fixture.SOCKETS,
+                Features.none().with(new MultiGetSettings(anyPort, MAX_KEYS)));
+    }
+
+    @AfterEach
+    void stop() {
+        proxy.close();
+        second.close();
+        third.close();
+    }
+
+    private static String request(String body, String... headers) {
+        StringBuilder text = new StringBuilder("POST /multi/account-read HTTP/1.1\r\nHost: x\r\n"
+                + "Connection: close\r\nX-Tenant-Id: acme\r\nContent-Length: " + body.length() + "\r\n");
+        for (String header : headers.length > 0 ? headers : new String[] {"X-Timeout-Ms: 15000"}) {
+            text.append(header).append("\r\n");
+        }
+        return text + "\r\n" + body;
+    }
+
+    private String ask(String text) throws IOException {
+        return Fixture.raw(proxy.sidePort("multiget.listen"), text);
+    }
+
+    private CompletableFuture<String> asking(String text) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return ask(text);
+            } catch (IOException e) {
+                return e.toString();
+            }
+        });
+    }
+
+    private List<FakeServer> caches() {
+        return List.of(proxy.cache, second, third);
+    }
+
+    private boolean nothingAsked() {
+        return proxy.origin.nothingAsked() && caches().stream().allMatch(FakeServer::nothingAsked);
+    }
+
+    /** What each key was asked with, by key, once so many have come. */
+    private Map<String, FakeServer.Received> collect(int count) {
+        Map<String, FakeServer.Received> asked = new HashMap<>();
+        long startNanos = System.nanoTime();
+        while (asked.size() < count) {
+            assertTrue(System.nanoTime() - startNanos < PATIENCE_NANOS, "asked only for " + asked.keySet());
+            for (FakeServer cache : caches()) {
+                cache.poll()
+                        .ifPresent(one -> asked.put(one.uri.substring(one.uri.lastIndexOf('/') + 1), one));
+            }
+        }
+        return asked;
+    }
+
+    private static String body(String answer) {
+        return answer.substring(answer.indexOf("\r\n\r\n") + 4);
+    }
+
+    /** All go out before the first is answered, under their ids, and are listed in the order asked. */
+    @Test
+    void sendsEachLineAsARequestOfItsOwnAndAnswersInOrder() throws Exception {
+        StringBuilder asked = new StringBuilder();
+        StringBuilder expected = new StringBuilder();
+        for (int i = 0; i < KEYS; i++) {
+            asked.append("id").append(i).append(" prestamo-").append(i).append('\n');
+            expected.append("id").append(i).append(" 200 ").append(("v" + i).length()).append("\nv").append(i)
+                    .append('\n');
+        }
+        CompletableFuture<String> answer = asking(request(asked.toString()));
+        Map<String, FakeServer.Received> received = collect(KEYS);
+        for (int i = KEYS - 1; i >= 0; i--) {
+            FakeServer.Received one = received.get("prestamo-" + i);
+            assertEquals("GET", one.method);
+            assertEquals("/account-read/prestamo-" + i, one.uri);
+            assertEquals("id" + i, one.headers.get("X-Request-ID"));
+            one.answer("200 OK", "v" + i);
+        }
+        assertTrue(answer.get().startsWith("HTTP/1.1 200 OK"), answer.get());
+        assertFalse(answer.get().toLowerCase().contains("x-partial"), answer.get());
+        assertEquals(expected.toString(), body(answer.get()));
+        assertTrue(caches().stream().allMatch(cache -> cache.connections.get() > 0), "keys are spread");
+    }
+
+    /** A miss is fetched, as it is for a request alone; what the origin fails is the line's own failure. */
+    @Test
+    void aFailedLineMakesTheAnswerPartial() throws Exception {
+        caches().forEach(cache -> cache.answerWith("404 Not Found", ""));
+        CompletableFuture<String> answer = asking(request("a1 good\nb2 bad"));
+        for (int i = 0; i < 2; i++) {
+            FakeServer.Received fetch = proxy.origin.next();
+            if (fetch.uri.endsWith("good")) {
+                fetch.answer("200 OK", "of the origin");
+            } else {
+                proxy.origin.answerWith("500 Internal Server Error", "");
+                fetch.answer("500 Internal Server Error", "");
+            }
+        }
+        assertTrue(answer.get().startsWith("HTTP/1.1 200 OK"), answer.get());
+        assertTrue(answer.get().toLowerCase().contains("\r\nx-partial: 1\r\n"), answer.get());
+        assertTrue(body(answer.get()).matches("a1 200 13\nof the origin\nb2 (502|429) 0\n\n"),
+                answer.get());
+    }
+
+    @Test
+    void whatIsOpenAtTheTimeoutIs504() throws Exception {
+        CompletableFuture<String> answer = asking(request("a1 k\nb2 slow", "X-Timeout-Ms: 1500"));
+        Map<String, FakeServer.Received> received = collect(2);
+        received.get("k").answer("200 OK", "v");
+        assertEquals("a1 200 1\nv\nb2 504 0\n\n", body(answer.get()));
+        assertTrue(answer.get().toLowerCase().contains("\r\nx-partial: 1\r\n"), answer.get());
+    }
+
+    @Test
+    void aBodyThatIsWrongSomewhereHasNoEffect() throws Exception {
+        StringBuilder over = new StringBuilder();
+        for (int i = 0; i <= MAX_KEYS; i++) {
+            over.append("id").append(i).append(" k\n");
+        }
+        for (String wrong : List.of("", "a1 k\na1 m", "a1 k\nnonsense", over.toString())) {
+            assertTrue(ask(request(wrong)).startsWith("HTTP/1.1 400 "), wrong);
+        }
+        for (String header : List.of("X-Timeout-Ms: soon", "X-Other: 1")) {
+            assertTrue(ask(request("a1 k", header)).startsWith("HTTP/1.1 400 "), header);
+        }
+        assertTrue(nothingAsked());
+    }
+
+    /** A node would take the second for a further attempt of the first. */
+    @Test
+    void theIdOfAnOpenRequestIs400() throws Exception {
+        CompletableFuture<?> first = proxy.send("GET", "/look/k", "", "X-Request-ID", "a1");
+        FakeServer.Received asked = collect(1).get("k");
+        assertTrue(ask(request("b2 m\na1 k")).startsWith("HTTP/1.1 400 "));
+        assertTrue(nothingAsked());
+        asked.answer("200 OK", "v");
+        first.get();
+    }
+
+    @Test
+    void otherPathsAndMethodsHaveTheirUsualStatus() throws Exception {
+        assertTrue(ask(request("a1 k").replace("/multi/account-read", "/multi/note"))
+                .startsWith("HTTP/1.1 404 "));
+        assertTrue(ask(request("a1 k").replace("POST /multi", "GET /")).startsWith("HTTP/1.1 404 "));
+        String wrongMethod = ask(request("a1 k").replace("POST", "PUT"));
+        assertTrue(wrongMethod.startsWith("HTTP/1.1 405 "), wrongMethod);
+        assertTrue(wrongMethod.toLowerCase().contains("\r\nallow: post\r\n"), wrongMethod);
+        assertTrue(nothingAsked());
+    }
+
+    @Test
+    void aPeerThatSaysNothingGets408() throws Exception {
+        assertTrue(ask("").startsWith("HTTP/1.1 408 "));
+    }
+
+    @Test
+    void aClientThatLeavesGivesUpAllLines() throws Exception {
+        InetSocketAddress address = proxy.sidePort("multiget.listen");
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.getOutputStream().write(request("a1 k\nb2 m").getBytes(StandardCharsets.UTF_8));
+            collect(2);
+        }
+        proxy.awaitNothingOwed();
+    }
+
+    /** Both answers are more than the sockets hold, and the second client takes its time. */
+    @Test
+    void aDrainEndsOnceTheLastAnswerIsRead() throws Exception {
+        String large = "x".repeat(60_000);
+        caches().forEach(cache -> cache.answerWith("200 OK", large));
+        StringBuilder asked = new StringBuilder();
+        for (int i = 0; i < MAX_KEYS; i++) {
+            asked.append("id").append(i).append(" k").append(i).append('\n');
+        }
+        CompletableFuture<String> answer = asking(request(asked.toString()));
+        Thread drain = new Thread(proxy::drain);
+        drain.start();
+        assertEquals(MAX_KEYS * large.length(), answer.get().chars().filter(c -> c == 'x').count());
+        drain.join();
+    }
+}
--- /dev/null
+++ b/src/test/java/oatrelay/proxy/settings/OperatorFileTest.java
@@ -0,0 +1,92 @@
+package oatrelay.proxy.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Reading the operator's file, and what it says of one that is wrong. */
+class OperatorFileTest {
+    @TempDir
+    Path folder;
+
+    private static void read(String text) throws SettingsException {
+        OperatorFile file = OperatorFile.parse("b.toml", text);
+        Section section = file.section("part");
+        section.address("listen");
+        section.whole("count", 3, 1, 10);
+        file.refuseUnread();
+    }
+
+    private static void refused(String text, String... parts) {
+        String message = assertThrows(SettingsException.class, () -> read(text), text).getMessage();
+        assertEquals(1, message.lines().count(), message);
+        assertTrue(message.startsWith("b.toml: "), message);
+        for (String part : parts) {
+            assertTrue(message.contains(part), message);
+        }
+    }
+
+    @Test
+    void whatIsNotSetHasItsDefault() throws Exception {
+        for (String text : new String[] {"", "# nothing\n", "[part]\n"}) {
+            Section section = OperatorFile.parse("b.toml", text).section("part");
+            assertNull(section.address("listen"));
+            assertEquals(3, section.whole("count", 3, 1, 10));
+        }
+    }
+
+    @Test
+    void tablesAndDottedKeysAreTheSame() throws Exception {
+        for (String text : new String[] {"[part]\nlisten = \"127.0.0.1:9001\"\ncount = 7\n",
+                "part.listen = \"127.0.0.1:9001\"\npart.count = 7\n"}) {
+            Section section = OperatorFile.parse("b.toml", text).section("part");
+            assertEquals(9001, section.address("listen").getPort());
+            assertEquals(7, section.whole("count", 3, 1, 10));
+        }
+    }
+
+    @Test
+    void whatIsNotTomlIsOneLine() {
+        for (String text : new String[] {"[part", "[part]\ncount = \n", "[part]\nlisten = \"open\n",
+                "[part]\ncount = 1\ncount = 2\n"}) {
+            refused(text);
+        }
+    }
+
+    @Test
+    void unknownKeysAndTablesAreNamed() {
+        refused("[prat]\ncount = 1\n", "prat");
+        refused("count = 1\n", "count");
+        refused("[part]\ncuont = 1\n", "part.cuont");
+        refused("part = 1\n", "part");
+    }
+
+    @Test
+    void wrongTypesRangesAndAddressesAreNamed() {
+        for (String value : new String[] {"\"4\"", "0", "11", "-1", "1.5", "true", "[1]", "9999999999"}) {
+            refused("[part]\ncount = " + value + "\n", "part.count", "1 to 10");
+        }
+        for (String value : new String[] {"9001", "\"localhost:9001\"", "\"127.0.0.1\"", "\"127.0.0.1:x\"",
+                "\"127.0.0.1:0\"", "\"127.0.0.1:70000\"", "\"\""}) {
+            refused("[part]\nlisten = " + value + "\n", "part.listen");
+        }
+    }
+
+    @Test
+    void aMissingOrUnreadableFileIsNamed() throws IOException {
+        Path none = folder.resolve("none.toml");
+        Path binary = Files.write(folder.resolve("binary.toml"), new byte[] {(byte) 0xff, (byte) 0xfe});
+        for (Path file : new Path[] {none, binary, folder}) {
+            String message =
+                    assertThrows(SettingsException.class, () -> OperatorFile.load(file)).getMessage();
+            assertTrue(message.startsWith(file + ": "), message);
+        }
+    }
+}
