--- a/src/main/java/oatrelay/proxy/Features.java
+++ b/src/main/java/oatrelay/proxy/Features.java
@@ -1,41 +1,51 @@
 package oatrelay.proxy;
 
 import java.nio.file.Path;
+import oatrelay.proxy.hotlist.HotListSettings;
 import oatrelay.proxy.multiget.MultiGetSettings;
 import oatrelay.proxy.settings.OperatorFile;
 import oatrelay.proxy.settings.SettingsException;
 
-/** What the command line and the operator's file switch on beside the plain port. */
-public record Features(MultiGetSettings multiGet) {
+/** What the command line and the operator's file switch on; {@code hotList} is null without its flag. */
+public record Features(MultiGetSettings multiGet, HotListSettings hotList) {
     /** All that the arguments behind {@code serve} may say. */
-    record Arguments(Path config) {
+    record Arguments(boolean hotList, Path config) {
         /** @return null where they are none of these */
         static Arguments parse(String[] words) {
+            boolean hotList = false;
             Path config = null;
             for (int i = 1; i < words.length; i++) {
                 if (words[i].equals("--config") && config == null && i + 1 < words.length) {
                     config = Path.of(words[++i]);
+                } else if (words[i].equals("--hot-list") && !hotList) {
+                    hotList = true;
                 } else {
                     return null;
                 }
             }
-            return new Arguments(config);
+            return new Arguments(hotList, config);
         }
     }
 
     public static Features none() {
-        return new Features(new MultiGetSettings(null, 0));
+        return new Features(new MultiGetSettings(null, 0), null);
     }
 
     public Features with(MultiGetSettings other) {
-        return new Features(other);
+        return new Features(other, hotList);
+    }
+
+    public Features with(HotListSettings other) {
+        return new Features(multiGet, other);
     }
 
     static Features load(Arguments arguments) throws SettingsException {
         OperatorFile file = arguments.config() == null ? OperatorFile.none()
                 : OperatorFile.load(arguments.config());
-        Features features = new Features(MultiGetSettings.read(file.section("multiget")));
+        MultiGetSettings multiGet = MultiGetSettings.read(file.section("multiget"));
+        // Read without its flag too: a mistake there should not wait for the day that it is wanted.
+        HotListSettings hotList = HotListSettings.read(file.section("hotlist"));
         file.refuseUnread();
-        return features;
+        return new Features(multiGet, arguments.hotList() ? hotList : null);
     }
 }
--- a/src/main/java/oatrelay/proxy/ProxyMain.java
+++ b/src/main/java/oatrelay/proxy/ProxyMain.java
@@ -13,6 +13,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -21,6 +22,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import oatrelay.Api.RequestClass;
+import oatrelay.proxy.command.SignalCommand;
+import oatrelay.proxy.hotlist.HotList;
 import oatrelay.proxy.multiget.MultiGet;
 import oatrelay.proxy.settings.SettingsException;
 import oatrelay.wire.Instance;
@@ -38,7 +42,13 @@
     /** Before that: the last answers are out, and before these the last requests are in. */
     private static final long ANSWERED_BEFORE_MS = 120;
     private static final long ASKED_BEFORE_MS = 150;
+    /** What the log's thread may take for its last lines. */
+    private static final long FLUSH_MS = 100;
+    private static final int SIGUSR1 = 10;
 
+    /** There is no node: it is refused. */
+    private static final String READ =
+            "GET /read/k HTTP/1.1\r\nHost: rehearsal\r\nX-Request-ID: 1\r\nX-Timeout-Ms: 500\r\n\r\n";
     private static final String HEALTH =
             "GET /_health HTTP/1.1\r\nHost: rehearsal\r\nConnection: close\r\n\r\n";
     /** The least that the module needs: a class, a tenant and the origin's kind. */
@@ -60,6 +70,8 @@
     private final Features features;
     private RequestTable table;
     private ClientListener clients;
+    /** Null where there is none. */
+    private volatile HotList hotList;
     /** Null where that port is off. */
     private MultiGet multiGet;
     /** Where the ports beside the plain one are bound, by the names of their settings. */
@@ -76,6 +88,9 @@
 
     ProxyMain(Features features) {
         this.features = features;
+        if (features.hotList() != null) {
+            Log.inBackground();
+        }
         NETTY_LOG.setLevel(Level.SEVERE);
     }
 
@@ -84,12 +99,19 @@
             WireHost.main(args);
         } else if (args.length > 0 && args[0].equals("serve") && Features.Arguments.parse(args) != null) {
             serve(Features.Arguments.parse(args));
-        } else if (args.length == 1 && args[0].equals("rehearse")) {
-            rehearse();
+        } else if (args.length > 0 && args[0].equals("rehearse") && Features.Arguments.parse(args) != null) {
+            rehearse(Features.Arguments.parse(args));
+        } else if (args.length > 0 && args[0].equals("hot-list")) {
+            Optional<String> wrong = new SignalCommand("hot-list", "USR1", SIGUSR1, "hot list").run(args);
+            if (wrong.isPresent()) {
+                exit(wrong.get());
+            }
         } else {
-            System.err.println("usage: oatrelay serve [--config FILE]\n"
+            System.err.println("usage: oatrelay serve [--hot-list] [--config FILE]\n"
                     + "            (one proxy, set up by EDGE_CONFIG and the operator's FILE)\n"
-                    + "       oatrelay rehearse   (starts one on loopback and ends: loads what serve needs)\n"
+                    + "       oatrelay rehearse [--hot-list] [--config FILE]\n"
+                    + "            (starts one on loopback and ends: loads what serve needs)\n"
+                    + "       oatrelay hot-list --pid PID   (has that proxy write its hot list)\n"
                     + "       oatrelay wirehost   (reads events on standard input, writes actions)");
             System.exit(2);
         }
@@ -101,6 +123,9 @@
             ProxyMain main = new ProxyMain(Features.load(arguments));
             ProxyConfig config = ProxyConfig.load(System.getenv());
             Signal.handle(new Signal("HUP"), signal -> main.reload(System.getenv()));
+            if (main.features.hotList() != null) {
+                Signal.handle(new Signal("USR1"), signal -> main.writeHotList());
+            }
             main.start(config);
             Runtime.getRuntime().addShutdownHook(new Thread(main::drain, "drain"));
         } catch (ProxyConfig.ConfigException | SettingsException e) {
@@ -114,22 +139,25 @@
      * Starts a proxy on loopback, asks it once and ends. The build records the classes that this loads, and
      * the JVM maps them at each start rather than reading and verifying them anew.
      */
-    private static void rehearse() throws IOException, InterruptedException {
+    private static void rehearse(Features.Arguments arguments) throws IOException, InterruptedException {
         Json settings = Json.parse(REHEARSED.getBytes(StandardCharsets.UTF_8));
         InetSocketAddress loopback = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        ProxyMain main = new ProxyMain();
         try (ServerSocket discovery = new ServerSocket(0, 1, loopback.getAddress())) {
+            ProxyMain main = new ProxyMain(Features.load(arguments));
             InetSocketAddress address = (InetSocketAddress) main.start(new ProxyConfig("rehearsal", loopback,
                     (InetSocketAddress) discovery.getLocalSocketAddress(), 1, ProxyConfig.SOCKETS_LEAST,
                     settings, settings));
             try (Socket client = new Socket(address.getAddress(), address.getPort())) {
-                client.getOutputStream().write(HEALTH.getBytes(StandardCharsets.US_ASCII));
+                client.getOutputStream().write((READ + HEALTH).getBytes(StandardCharsets.US_ASCII));
                 client.getInputStream().readAllBytes();
             }
+            main.writeHotList();
+            main.drain();
+        } catch (SettingsException e) {
+            exit(e.getMessage());
         } catch (ExecutionException e) {
             exit("cannot start: " + e.getCause().getMessage());
         }
-        main.drain();
     }
 
     private static void exit(String message) {
@@ -148,6 +176,11 @@
         NodePool nodes =
                 new NodePool(loop, clock, Instance.settings(config.settings()).limits(), shares.nodes());
         table = new RequestTable(loop, clock, nodes, config.settings(), config.seed());
+        if (features.hotList() != null) {
+            hotList = new HotList(features.hotList(), table.instance().settings.classes().stream()
+                    .map(RequestClass::name).toList(), clock::nowNanos, loop);
+            table.onTaken(hotList::count);
+        }
         watch = new MembershipWatch(loop, clock, config.discovery(), table, nodes);
         table.onWatchList(watch::start);
         watch.restore(config.known());
@@ -217,6 +250,15 @@
         }
     }
 
+    /** SIGUSR1, which may come before the start is over. */
+    void writeHotList() {
+        if (hotList != null) {
+            hotList.write();
+        } else {
+            Log.line("no hot list yet");
+        }
+    }
+
     /** How many requests are owed an answer. */
     int owed() throws InterruptedException, ExecutionException {
         return loop.submit(() -> table.owed()).get();
@@ -257,6 +299,7 @@
             boolean empty = drained.await(KILL_AFTER_MS + LONGEST_DEADLINE_MS, TimeUnit.MILLISECONDS);
             Log.line(empty ? "drained" : "ends with requests in hand");
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(200, TimeUnit.MILLISECONDS);
+            Log.flush(FLUSH_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/oatrelay/proxy/RequestReader.java
+++ b/src/main/java/oatrelay/proxy/RequestReader.java
@@ -76,6 +76,7 @@
         if (!method.equals(HttpMethod.GET) && !method.equals(HttpMethod.PUT)) {
             throw new Rejection(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
+        String tenant = request.headers().get(Headers.TENANT);
         String requestId = request.headers().get(Headers.REQUEST_ID);
         String idempotencyKey = request.headers().get(Headers.IDEMPOTENCY_KEY);
         boolean needsKey = method.equals(HttpMethod.PUT)
@@ -96,9 +97,9 @@
         long deadlineNanos = Math.min(endNanos, clock.nowNanos() + timeoutNanos
                 - Math.min(DEADLINE_MARGIN_NANOS + 2 * lag.getAsLong(), timeoutNanos / 2));
         return new RequestTable.Arrival(requestClass,
-                Instance.number(instance.tenants, request.headers().get(Headers.TENANT)), !key.isEmpty(),
+                Instance.number(instance.tenants, tenant), !key.isEmpty(),
                 key.isEmpty() ? 0 : WireHost.digest(key), deadlineNanos,
-                TimeUnit.MICROSECONDS.toNanos(costMicros),
+                TimeUnit.MICROSECONDS.toNanos(costMicros), tenant == null ? "" : tenant, key,
                 new UpstreamRequest(method, request.uri(), requestId, idempotencyKey,
                         ByteBufUtil.getBytes(request.content())));
     }
--- a/src/main/java/oatrelay/proxy/RequestTable.java
+++ b/src/main/java/oatrelay/proxy/RequestTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import oatrelay.Api;
 import oatrelay.Api.Ended;
@@ -31,9 +32,9 @@
         void failed(int status);
     }
 
-    /** What came in, with the module's numbers for its names. */
+    /** What came in, with the module's numbers for its names, and the names of what has no bounded set. */
     public record Arrival(int requestClass, int tenant, boolean keyed, long key, long deadlineNanos,
-            long workNanos, UpstreamRequest upstream) {
+            long workNanos, String tenantName, String keyText, UpstreamRequest upstream) {
     }
 
     /** One request until it is answered and all its attempts have ended. */
@@ -86,6 +87,7 @@
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
     private boolean inside = true;
     private Runnable watchStarter = () -> { };
+    private Consumer<Arrival> whenTaken = arrival -> { };
     private long lastId;
     private int owed;
     private Runnable whenEmpty;
@@ -106,6 +108,11 @@
         watchStarter = starter;
     }
 
+    /** Tells of every request that is taken, on the loop. */
+    void onTaken(Consumer<Arrival> observer) {
+        whenTaken = whenTaken.andThen(observer);
+    }
+
     /** How many requests have not had their answer. */
     int owed() {
         return owed;
@@ -163,6 +170,7 @@
         requests.put(id, open);
         clientIds.add(arrival.upstream().requestId());
         owed++;
+        whenTaken.accept(arrival);
         open.deadlineTimer = loop.schedule(() -> expire(open), arrival.deadlineNanos() - clock.nowNanos(),
                 TimeUnit.NANOSECONDS);
         boolean write = !arrival.upstream().method().name().equals("GET");
--- a/src/main/java/oatrelay/proxy/settings/Section.java
+++ b/src/main/java/oatrelay/proxy/settings/Section.java
@@ -42,6 +42,18 @@
         throw wrong(key, "must be a whole number from " + least + " to " + most);
     }
 
+    /** A whole or decimal number. */
+    public double number(String key, double otherwise, double least, double most) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Number number && number.doubleValue() >= least && number.doubleValue() <= most) {
+            return number.doubleValue();
+        }
+        throw wrong(key, "must be a number from " + least + " to " + most);
+    }
+
     /** A literal address and a port; null where none is given. */
     public InetSocketAddress address(String key) throws SettingsException {
         Object value = value(key);
--- /dev/null
+++ b/src/test/java/oatrelay/proxy/Program.java
@@ -0,0 +1,104 @@
+package oatrelay.proxy;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The packaged program as a process of its own, and its commands. */
+public final class Program implements AutoCloseable {
+    /** How a command ended, and what it wrote to standard error. */
+    public record Ended(int status, String error) {
+    }
+
+    private final Process process;
+    private final InetSocketAddress address;
+    private final FakeServer discovery;
+    private final BufferedReader error;
+
+    private Program(Process process, InetSocketAddress address, FakeServer discovery) {
+        this.process = process;
+        this.address = address;
+        this.discovery = discovery;
+        this.error = process.errorReader(StandardCharsets.UTF_8);
+    }
+
+    /** Starts a proxy that knows these nodes, and returns once it is ready. */
+    public static Program serve(Path folder, List<String> nodes, String... arguments) throws IOException {
+        FakeServer discovery = new FakeServer();
+        int port = freePort();
+        Path config = Files.writeString(folder.resolve("config.json"), "{\"listen\":\"127.0.0.1:" + port
+                + "\",\"discovery\":\"" + discovery.hostPort() + "\",\"known\":"
+                + Fixture.list(41, true, nodes)
+                + ",\"settings\":" + Fixture.SETTINGS + "}");
+        List<String> command = java();
+        command.add("serve");
+        command.addAll(List.of(arguments));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        Program program = new Program(builder.start(),
+                new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), discovery);
+        for (String line = program.error.readLine(); line == null || !line.contains(" serves on ");
+                line = program.error.readLine()) {
+            if (line == null) {
+                throw new IOException("the program has ended");
+            }
+        }
+        return program;
+    }
+
+    static List<String> java() {
+        return new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar", Path.of("target", "oatrelay.jar").toString()));
+    }
+
+    /** Any port of loopback that nobody holds at the moment. */
+    public static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    public static Ended run(String program, String... arguments) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of(program));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        process.getOutputStream().close();
+        String error = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        return new Ended(process.waitFor(), error);
+    }
+
+    /** Runs a subcommand on this process. */
+    public Ended command(String name) throws IOException, InterruptedException {
+        return run(Path.of("bin", "burlarch").toString(), name, "--pid", Long.toString(process.pid()));
+    }
+
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("/bin/sh", "-c", "kill -s " + name + " " + process.pid()).start().waitFor();
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** What it writes from when it was ready. */
+    public BufferedReader error() {
+        return error;
+    }
+
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly().onExit().join();
+        discovery.close();
+    }
+}
--- a/src/test/java/oatrelay/proxy/settings/OperatorFileTest.java
+++ b/src/test/java/oatrelay/proxy/settings/OperatorFileTest.java
@@ -21,6 +21,7 @@
         Section section = file.section("part");
         section.address("listen");
         section.whole("count", 3, 1, 10);
+        section.number("span", 2, 0.5, 5);
         file.refuseUnread();
     }
 
@@ -73,6 +74,9 @@
         for (String value : new String[] {"\"4\"", "0", "11", "-1", "1.5", "true", "[1]", "9999999999"}) {
             refused("[part]\ncount = " + value + "\n", "part.count", "1 to 10");
         }
+        for (String value : new String[] {"\"1\"", "0.4", "5.1", "nan", "inf"}) {
+            refused("[part]\nspan = " + value + "\n", "part.span", "0.5 to 5.0");
+        }
         for (String value : new String[] {"9001", "\"localhost:9001\"", "\"127.0.0.1\"", "\"127.0.0.1:x\"",
                 "\"127.0.0.1:0\"", "\"127.0.0.1:70000\"", "\"\""}) {
             refused("[part]\nlisten = " + value + "\n", "part.listen");
