--- a/src/main/java/oatrelay/proxy/ClientListener.java
+++ b/src/main/java/oatrelay/proxy/ClientListener.java
@@ -48,7 +48,7 @@
     }
 
     /** All ports together hold the clients' share of the descriptors, and end alike. */
-    ChannelFuture bind(SocketAddress address, RequestHandler handler) {
+    ChannelFuture bind(SocketAddress address, RequestHandler.Port port) {
         if (!sweeping) {
             sweeping = true;
             loop.scheduleWithFixedDelay(this::endSlow, SWEEP_NANOS, SWEEP_NANOS, TimeUnit.NANOSECONDS);
@@ -61,7 +61,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         if (connections.size() < connectionsMost || makeRoom()) {
-                            install(channel, handler);
+                            install(channel, port);
                         } else {
                             channel.close();
                         }
@@ -71,7 +71,8 @@
         return bound;
     }
 
-    void install(Channel channel, RequestHandler handler) {
+    void install(Channel channel, RequestHandler.Port port) {
+        RequestHandler handler = port.open(channel);
         RequestDecoder decoder = new RequestDecoder(clock);
         RequestCollector collector = new RequestCollector(budget);
         ClientConnection connection =
--- a/src/main/java/oatrelay/proxy/Features.java
+++ b/src/main/java/oatrelay/proxy/Features.java
@@ -6,10 +6,11 @@
 import oatrelay.proxy.settings.OperatorFile;
 import oatrelay.proxy.settings.SettingsException;
 import oatrelay.proxy.status.StatusSettings;
+import oatrelay.proxy.tls.TlsSettings;
 
 /** What the command line and the operator's file switch on; {@code hotList} is null without its flag. */
 public record Features(MultiGetSettings multiGet, HotListSettings hotList,
-        StatusSettings status) {
+        StatusSettings status, TlsSettings tls) {
     /** All that the arguments behind {@code serve} may say. */
     record Arguments(boolean hotList, Path config) {
         /** @return null where they are none of these */
@@ -30,19 +31,24 @@
     }
 
     public static Features none() {
-        return new Features(new MultiGetSettings(null, 0), null, new StatusSettings(null, 0));
+        return new Features(new MultiGetSettings(null, 0), null, new StatusSettings(null, 0),
+                new TlsSettings(null, null, null, "1.2", null, 0));
     }
 
     public Features with(MultiGetSettings other) {
-        return new Features(other, hotList, status);
+        return new Features(other, hotList, status, tls);
     }
 
     public Features with(HotListSettings other) {
-        return new Features(multiGet, other, status);
+        return new Features(multiGet, other, status, tls);
     }
 
     public Features with(StatusSettings other) {
-        return new Features(multiGet, hotList, other);
+        return new Features(multiGet, hotList, other, tls);
+    }
+
+    public Features with(TlsSettings other) {
+        return new Features(multiGet, hotList, status, other);
     }
 
     static Features load(Arguments arguments) throws SettingsException {
@@ -52,7 +58,8 @@
         // Read without its flag too: a mistake there should not wait for the day that it is wanted.
         HotListSettings hotList = HotListSettings.read(file.section("hotlist"));
         StatusSettings status = StatusSettings.read(file.section("status"));
+        TlsSettings tls = TlsSettings.read(file.section("tls"));
         file.refuseUnread();
-        return new Features(multiGet, arguments.hotList() ? hotList : null, status);
+        return new Features(multiGet, arguments.hotList() ? hotList : null, status, tls);
     }
 }
--- a/src/main/java/oatrelay/proxy/Log.java
+++ b/src/main/java/oatrelay/proxy/Log.java
@@ -57,7 +57,9 @@
      * @return false where they are left out, as too much waits for a reader
      */
     public static synchronized boolean block(Supplier<String> text) {
-        return writer.offer(text);
+        boolean taken = writer.offer(text);
+        dropped += taken ? 0 : 1;
+        return taken;
     }
 
     /** Before the program ends: gives the log's thread so long to write what waits. */
--- a/src/main/java/oatrelay/proxy/ProxyMain.java
+++ b/src/main/java/oatrelay/proxy/ProxyMain.java
@@ -30,6 +30,7 @@
 import oatrelay.proxy.settings.SettingsException;
 import oatrelay.proxy.status.StatusBoard;
 import oatrelay.proxy.status.StatusPage;
+import oatrelay.proxy.tls.TlsPort;
 import oatrelay.wire.Instance;
 import oatrelay.wire.Json;
 import oatrelay.wire.WireHost;
@@ -47,7 +48,9 @@
     private static final long ASKED_BEFORE_MS = 150;
     /** What the log's thread may take for its last lines. */
     private static final long FLUSH_MS = 100;
+    /** As Linux counts them. */
     private static final int SIGUSR1 = 10;
+    private static final int SIGURG = 23;
 
     /** There is no node: it is refused. */
     private static final String READ =
@@ -71,6 +74,8 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private final ProxyClock clock = new ProxyClock();
     private final Features features;
+    /** Null where that port is off. */
+    private final TlsPort tls;
     private RequestTable table;
     private ClientListener clients;
     /** Null where there is none. */
@@ -86,13 +91,11 @@
     /** The number of the last that was carried out. */
     private int lastReload;
 
-    ProxyMain() {
-        this(Features.none());
-    }
-
-    ProxyMain(Features features) {
+    /** Loads what the features need from files, on the caller's thread. */
+    ProxyMain(Features features) throws SettingsException {
         this.features = features;
-        if (features.hotList() != null) {
+        this.tls = features.tls().listen() == null ? null : TlsPort.load(features.tls());
+        if (features.hotList() != null || tls != null) {
             Log.inBackground();
         }
         NETTY_LOG.setLevel(Level.SEVERE);
@@ -106,21 +109,29 @@
         } else if (args.length > 0 && args[0].equals("rehearse") && Features.Arguments.parse(args) != null) {
             rehearse(Features.Arguments.parse(args));
         } else if (args.length > 0 && args[0].equals("hot-list")) {
-            Optional<String> wrong = new SignalCommand("hot-list", "USR1", SIGUSR1, "hot list").run(args);
-            if (wrong.isPresent()) {
-                exit(wrong.get());
-            }
+            signal(new SignalCommand("hot-list", "USR1", SIGUSR1, "hot list"), args);
+        } else if (args.length > 0 && args[0].equals("tls-reload")) {
+            signal(new SignalCommand("tls-reload", "URG", SIGURG, "TLS port"), args);
         } else {
             System.err.println("usage: oatrelay serve [--hot-list] [--config FILE]\n"
                     + "            (one proxy, set up by EDGE_CONFIG and the operator's FILE)\n"
                     + "       oatrelay rehearse [--hot-list] [--config FILE]\n"
                     + "            (starts one on loopback and ends: loads what serve needs)\n"
-                    + "       oatrelay hot-list --pid PID   (has that proxy write its hot list)\n"
+                    + "       oatrelay hot-list --pid PID     (has that proxy write its hot list)\n"
+                    + "       oatrelay tls-reload --pid PID   (has it read its certificates again)\n"
                     + "       oatrelay wirehost   (reads events on standard input, writes actions)");
             System.exit(2);
         }
     }
 
+    private static void signal(SignalCommand command, String[] args)
+            throws IOException, InterruptedException {
+        Optional<String> wrong = command.run(args);
+        if (wrong.isPresent()) {
+            exit(wrong.get());
+        }
+    }
+
     @SuppressWarnings("sunapi") // The only way to SIGHUP, which would end the JVM.
     private static void serve(Features.Arguments arguments) throws InterruptedException {
         try {
@@ -130,6 +141,10 @@
             if (main.features.hotList() != null) {
                 Signal.handle(new Signal("USR1"), signal -> main.writeHotList());
             }
+            if (main.tls != null) {
+                // Not SIGUSR2, which is HotSpot's; where nobody takes it, SIGURG does nothing.
+                Signal.handle(new Signal("URG"), signal -> main.reloadCertificates());
+            }
             main.start(config);
             Runtime.getRuntime().addShutdownHook(new Thread(main::drain, "drain"));
         } catch (ProxyConfig.ConfigException | SettingsException e) {
@@ -200,9 +215,9 @@
         clients = new ClientListener(loop, clock, table, () -> ready, new LoopLag(loop, clock)::nanos,
                 shares.clients());
         io.netty.util.concurrent.Promise<SocketAddress> bound = loop.newPromise();
-        bindSidePorts(config.listen().getAddress(), bound);
         SingleRequests plain = new SingleRequests(clients.reader(), table);
-        clients.bind(config.listen(), plain).addListener((ChannelFuture f) -> {
+        bindSidePorts(config.listen().getAddress(), plain, bound);
+        clients.bind(config.listen(), channel -> plain).addListener((ChannelFuture f) -> {
             if (!f.isSuccess()) {
                 bound.tryFailure(f.cause());
             } else if (bound.trySuccess(f.channel().localAddress())) {
@@ -214,7 +229,7 @@
     }
 
     /** Before the plain port, as on the loop one bind ends before the next: it is ready with all or none. */
-    private void bindSidePorts(InetAddress host,
+    private void bindSidePorts(InetAddress host, RequestHandler plain,
             io.netty.util.concurrent.Promise<SocketAddress> bound) {
         if (statusPage != null) {
             InetSocketAddress statusAt = new InetSocketAddress(host, features.status().port());
@@ -222,12 +237,18 @@
                     statusPage.bind(statusAt, features.status().refreshMs()), bound);
         }
         InetSocketAddress multiGetAt = features.multiGet().listen();
+        if (tls != null) {
+            tls.start(plain);
+            sidePort("tls.listen", features.tls().listen(), clients.bind(features.tls().listen(), tls),
+                    bound);
+        }
         if (multiGetAt != null) {
             multiGet = new MultiGet(loop, clients.reader(), table, features.multiGet().maxKeys());
-            sidePort("multiget.listen", multiGetAt, clients.bind(multiGetAt, multiGet), bound);
+            sidePort("multiget.listen", multiGetAt, clients.bind(multiGetAt, channel -> multiGet), bound);
         }
     }
 
+    /** Settles at once where the bind is over, as on the way to the next bind it must be known. */
     private void sidePort(String name, SocketAddress address, ChannelFuture binding,
             io.netty.util.concurrent.Promise<SocketAddress> bound) {
         if (!binding.isDone()) {
@@ -279,6 +300,11 @@
         }
     }
 
+    /** SIGURG, taken only where there is a TLS port. */
+    void reloadCertificates() {
+        tls.reloadNow();
+    }
+
     /** How many requests are owed an answer. */
     int owed() throws InterruptedException, ExecutionException {
         return loop.submit(() -> table.owed()).get();
@@ -301,6 +327,9 @@
 
     /** Ends at once, with whatever is in hand. */
     void stop() {
+        if (tls != null) {
+            tls.close();
+        }
         if (statusPage != null) {
             statusPage.close();
         }
--- a/src/main/java/oatrelay/proxy/RequestHandler.java
+++ b/src/main/java/oatrelay/proxy/RequestHandler.java
@@ -1,6 +1,7 @@
 package oatrelay.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,6 +14,12 @@
         ChannelFuture answer(HttpHeaders headers, ByteBuf body);
     }
 
+    /** One of the clients' ports. */
+    interface Port {
+        /** Puts what the port has there before a new connection's HTTP; returns who takes its requests. */
+        RequestHandler open(Channel channel);
+    }
+
     /** The methods that the port takes, for the answer 405. */
     String allow();
 
--- a/src/main/java/oatrelay/proxy/WarmUp.java
+++ b/src/main/java/oatrelay/proxy/WarmUp.java
@@ -52,7 +52,8 @@
                 new Server(CACHE, 0, 1, 0, Stage.IN, originKind + 1, 0),
                 new Server(ORIGIN, 0, 1, 0, Stage.IN, originKind, 0))));
         ClientListener clients = new ClientListener(loop, clock, table, () -> true, () -> 0, 1);
-        clients.install(client, new SingleRequests(clients.reader(), table));
+        SingleRequests plain = new SingleRequests(clients.reader(), table);
+        clients.install(client, channel -> plain);
     }
 
     /** @return how many requests had no answer, which leaves the program cold; 0 as a rule */
--- a/src/main/java/oatrelay/proxy/settings/Section.java
+++ b/src/main/java/oatrelay/proxy/settings/Section.java
@@ -1,7 +1,10 @@
 package oatrelay.proxy.settings;
 
 import java.net.InetSocketAddress;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import oatrelay.proxy.ProxyConfig;
@@ -44,6 +47,34 @@
         throw wrong(key, "must be a whole number from " + least + " to " + most);
     }
 
+    /** One of some words. */
+    public String text(String key, String otherwise, List<String> words) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof String text && words.contains(text)) {
+            return text;
+        }
+        throw wrong(key, "must be one of \"" + String.join("\", \"", words) + "\"");
+    }
+
+    /** A file's path; null where none is given. */
+    public Path path(String key) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return null;
+        }
+        try {
+            if (value instanceof String text && !text.isEmpty()) {
+                return Path.of(text);
+            }
+        } catch (InvalidPathException e) {
+            // Said below, as for a value of another type.
+        }
+        throw wrong(key, "must be a path");
+    }
+
     /** A port; null where none is given. */
     public Integer port(String key) throws SettingsException {
         return value(key) == null ? null : Integer.valueOf(whole(key, 0, 1, PORT_MOST));
--- a/src/test/java/oatrelay/proxy/Fixture.java
+++ b/src/test/java/oatrelay/proxy/Fixture.java
@@ -121,6 +121,10 @@
         }
     }
 
+    public void reloadCertificates() {
+        main.reloadCertificates();
+    }
+
     /** SIGTERM: returns when all is answered. */
     public void drain() {
         main.drain();
--- /dev/null
+++ b/src/test/java/oatrelay/proxy/tls/TlsIT.java
@@ -0,0 +1,128 @@
+package oatrelay.proxy.tls;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.pkitesting.X509Bundle;
+import java.math.BigInteger;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.cert.X509Certificate;
+import java.util.List;
+import javax.net.ssl.SSLSocket;
+import oatrelay.proxy.FakeServer;
+import oatrelay.proxy.Fixture;
+import oatrelay.proxy.Program;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The packaged program's TLS port: its file, its log and its command. */
+@Timeout(120)
+class TlsIT {
+    @TempDir
+    Path folder;
+    private Authority authority;
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void make() throws Exception {
+        authority = new Authority("test-ca");
+        Authority.write(folder, authority.issue("CN=proxy"));
+        Files.writeString(folder.resolve("ca.pem"), authority.root.getCertificatePEM());
+        address = new InetSocketAddress("127.0.0.1", Program.freePort());
+    }
+
+    private String operatorFile(int checkSeconds) throws Exception {
+        return Files.writeString(folder.resolve("operator.toml"), "[tls]\nlisten = \"127.0.0.1:"
+                + address.getPort() + "\"\ncert_file = \"" + folder.resolve("cert.pem") + "\"\nkey_file = \""
+                + folder.resolve("key.pem") + "\"\nclient_ca = \"" + folder.resolve("ca.pem")
+                + "\"\ncheck_s = " + checkSeconds + "\n").toString();
+    }
+
+    private static String awaitLine(Program program, String part) throws Exception {
+        String line = program.error().readLine();
+        while (line != null && !line.contains(part)) {
+            line = program.error().readLine();
+        }
+        assertNotNull(line, "the program has ended");
+        return line;
+    }
+
+    private BigInteger serial() throws Exception {
+        try (SSLSocket socket = authority.connect(address, null)) {
+            socket.startHandshake();
+            return ((X509Certificate) socket.getSession().getPeerCertificates()[0]).getSerialNumber();
+        }
+    }
+
+    @Test
+    void theCommandReloadsAndAFailureKeepsTheOldPair() throws Exception {
+        try (Program program = Program.serve(folder, List.of(), "--config", operatorFile(3600))) {
+            BigInteger first = serial();
+            Files.writeString(folder.resolve("key.pem"), authority.issue("CN=proxy").getPrivateKeyPEM());
+            assertEquals(0, program.command("tls-reload").status());
+            String failure = awaitLine(program, "the certificates stay as they were");
+            assertTrue(failure.contains("key.pem"), failure);
+            assertEquals(first, serial());
+            X509Bundle next = authority.issue("CN=proxy");
+            Authority.write(folder, next);
+            assertEquals(0, program.command("tls-reload").status());
+            awaitLine(program, "certificates read again");
+            assertNotEquals(first, serial());
+            assertEquals(next.getCertificate().getSerialNumber(), serial());
+        }
+    }
+
+    @Test
+    void aChangedFileIsSeen() throws Exception {
+        try (Program program = Program.serve(folder, List.of(), "--config", operatorFile(1))) {
+            X509Bundle next = authority.issue("CN=proxy");
+            Authority.write(folder, next);
+            awaitLine(program, "certificates read again");
+            assertEquals(next.getCertificate().getSerialNumber(), serial());
+        }
+    }
+
+    @Test
+    void theSubjectStandsNextToTheRequestId() throws Exception {
+        try (FakeServer cache = new FakeServer();
+                Program program = Program.serve(folder, List.of(
+                        Fixture.entry("c-1", cache, "cache", "SERVING")), "--config", operatorFile(3600));
+                SSLSocket socket =
+                        authority.connect(address, authority.issue("CN=caja-03,OU=gijon-puerto"))) {
+            cache.answerWith("200 OK", "v");
+            socket.getOutputStream().write(("GET /look/k HTTP/1.1\r\nHost: x\r\n"
+                    + "X-Request-ID: 9b1f03aa5c7e2d41\r\nX-Timeout-Ms: 9000\r\nConnection: close\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+            assertEquals("ryefront: X-Request-ID 9b1f03aa5c7e2d41 client CN=caja-03,OU=gijon-puerto",
+                    awaitLine(program, "9b1f03aa5c7e2d41"));
+        }
+    }
+
+    @Test
+    void wrongFilesEndTheStartBeforeAnythingIsBound() throws Exception {
+        Files.writeString(folder.resolve("key.pem"), authority.issue("CN=proxy").getPrivateKeyPEM());
+        Program.Ended ended = Program.failedStart(folder, "--config", operatorFile(30));
+        assertEquals(1, ended.status(), ended.error());
+        assertEquals(1, ended.error().lines().count(), ended.error());
+        assertTrue(ended.error().contains("key.pem: not the key of "), ended.error());
+    }
+
+    @Test
+    void aProxyWithoutTlsIsLeftAlone() throws Exception {
+        try (Program program = Program.serve(folder, List.of())) {
+            Program.Ended asked = program.command("tls-reload");
+            assertEquals(1, asked.status());
+            assertTrue(asked.error().contains("no TLS port in service"), asked.error());
+            assertTrue(program.isAlive());
+        }
+    }
+}
