--- a/src/main/java/oatrelay/proxy/ClientConnection.java
+++ b/src/main/java/oatrelay/proxy/ClientConnection.java
@@ -173,7 +173,7 @@
     }
 
     @Override
-    public void refused(long retryAfterNanos) {
+    public void refused(long retryAfterNanos, boolean unanswered) {
         FullHttpResponse response = response(HttpResponseStatus.TOO_MANY_REQUESTS, Unpooled.EMPTY_BUFFER);
         if (retryAfterNanos > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER,
--- a/src/main/java/oatrelay/proxy/NodePool.java
+++ b/src/main/java/oatrelay/proxy/NodePool.java
@@ -85,6 +85,7 @@
     private final ScheduledFuture<?> sweeper;
     private final Map<Long, Node> nodes = new HashMap<>();
     private final int connectionsMost;
+    private boolean connectsOn;
     /** Connections that are up or on their way. */
     private int open;
     /** Connections whose answer nobody waits for, the longest so first. */
@@ -111,6 +112,14 @@
                 loop.scheduleWithFixedDelay(this::sweep, SWEEP_NANOS, SWEEP_NANOS, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * From now on a connect that is done makes way for the next. For bursts, with no request behind them that
+     * would bring it about: the last of them would wait for the first ones' answers.
+     */
+    void connectOn() {
+        connectsOn = true;
+    }
+
     /** Ends the pool's own work; for one that never had connections of its own. */
     void close() {
         sweeper.cancel(false);
@@ -249,6 +258,9 @@
             return;
         }
         add(node, address, future.channel());
+        if (connectsOn) {
+            connectForWaiting(node);
+        }
     }
 
     private void add(Node node, InetSocketAddress address, Channel channel) {
--- a/src/main/java/oatrelay/proxy/ProxyMain.java
+++ b/src/main/java/oatrelay/proxy/ProxyMain.java
@@ -194,6 +194,9 @@
         SocketShares shares = SocketShares.of(config.sockets());
         NodePool nodes =
                 new NodePool(loop, clock, Instance.settings(config.settings()).limits(), shares.nodes());
+        if (features.multiGet().listen() != null) {
+            nodes.connectOn();
+        }
         table = new RequestTable(loop, clock, nodes, config.settings(), config.seed());
         if (features.hotList() != null) {
             hotList = new HotList(features.hotList(), classNames(), clock::nowNanos, loop);
--- a/src/main/java/oatrelay/proxy/RequestTable.java
+++ b/src/main/java/oatrelay/proxy/RequestTable.java
@@ -26,7 +26,8 @@
     public interface Exchange {
         void served(byte[] body, String contentType);
 
-        void refused(long retryAfterNanos);
+        /** @param unanswered whether it ends as a node did not answer it in the time that it had */
+        void refused(long retryAfterNanos, boolean unanswered);
 
         void failed(int status);
     }
@@ -60,6 +61,8 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         int out;
         boolean answered;
+        /** Whether the proxy stopped waiting for the attempt that ended last. */
+        boolean unanswered;
         ScheduledFuture<?> deadlineTimer;
 
         Open(long id, Arrival arrival, Exchange exchange) {
@@ -242,6 +245,7 @@
     private void attemptEnded(Attempt attempt, Outcome outcome, byte[] body, String contentType) {
         Open open = attempt.open;
         open.out--;
+        open.unanswered = outcome == Outcome.LATE || outcome == Outcome.CXL;
         observers.forEach(observer -> observer.attemptEnded(attempt.server, outcome));
         if (outcome == Outcome.GOOD) {
             answer(open, () -> open.exchange.served(body, contentType));
@@ -294,7 +298,8 @@
     public void refuse(long request, long retryAfterNanos) {
         Open open = requests.get(request);
         if (open != null) {
-            answer(open, () -> open.exchange.refused(retryAfterNanos));
+            boolean unanswered = open.out > 0 || open.unanswered;
+            answer(open, () -> open.exchange.refused(retryAfterNanos, unanswered));
         }
     }
 
--- a/src/main/java/oatrelay/proxy/multiget/Batch.java
+++ b/src/main/java/oatrelay/proxy/multiget/Batch.java
@@ -36,12 +36,10 @@
         }
 
         @Override
-        public void refused(long nanos) {
-            // The module's word for a read that has run out of time; the client is told what it was.
-            boolean late = timeIsUp.test(arrival);
-            if (!late) {
-                retryAfterNanos = Math.max(retryAfterNanos, nanos);
-            }
+        public void refused(long nanos, boolean unanswered) {
+            retryAfterNanos = Math.max(retryAfterNanos, nanos);
+            // A refusal is also the module's word for a read that has run out of time; here it is told apart.
+            boolean late = unanswered || timeIsUp.test(arrival);
             end((late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.TOO_MANY_REQUESTS).code());
         }
 
