--- a/src/main/java/oatrelay/proxy/hotlist/HotListSettings.java
+++ b/src/main/java/oatrelay/proxy/hotlist/HotListSettings.java
@@ -5,7 +5,7 @@
 
 /** The hot list's figures: counters a class, the half-life of its rates, and the entries that are shown. */
 public record HotListSettings(int capacity, long halfLifeNanos, int show) {
-    /** Some 400 bytes each at the longest: 1.6 MB a class, of a heap that has room for a few of these. */
+    /** Some 500 bytes each at the longest: 2 MB a class, of a heap that has room for a few of these. */
     private static final int CAPACITY_MOST = 4096;
     private static final double SECOND_NANOS = 1e9;
     private static final int DAY_S = 86_400;
