--- a/src/main/java/oatrelay/CachePool.java
+++ b/decisions/src/main/java/burlarch/decisions/CachePool.java
@@ -1,9 +1,9 @@
-package oatrelay;
+package burlarch.decisions;
 
+import burlarch.decisions.Api.*;
 import java.util.*;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import oatrelay.Api.*;
 
 /** The listed servers: rendezvous order over the caches, their health, warm-up, drain and connections. */
 final class CachePool {
--- a/src/main/java/oatrelay/CallGapping.java
+++ b/decisions/src/main/java/burlarch/decisions/CallGapping.java
@@ -1,4 +1,4 @@
-package oatrelay;
+package burlarch.decisions;
 
 import java.util.Arrays;
 
--- a/src/main/java/oatrelay/LearnedCapacity.java
+++ b/decisions/src/main/java/burlarch/decisions/LearnedCapacity.java
@@ -1,4 +1,4 @@
-package oatrelay;
+package burlarch.decisions;
 
 /**
  * The capacity c that one proxy may ask of one server, learned from outcomes. It rises only while the
--- a/src/main/java/oatrelay/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -1,10 +1,10 @@
-package oatrelay;
+package burlarch.decisions;
 
 // The interface of this module - its settings, events and actions - is Api.java.
 
+import burlarch.decisions.Api.*;
+import burlarch.decisions.CachePool.Node;
 import java.util.*;
-import oatrelay.Api.*;
-import oatrelay.CachePool.Node;
 
 /**
  * The decisions of one proxy. A read goes to its best cache by rendezvous; on a miss the fetch is offered to
--- a/src/test/java/oatrelay/CallGappingTest.java
+++ b/decisions/src/test/java/burlarch/decisions/CallGappingTest.java
@@ -1,4 +1,4 @@
-package oatrelay;
+package burlarch.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/oatrelay/FakeActions.java
+++ b/decisions/src/test/java/burlarch/decisions/FakeActions.java
@@ -1,4 +1,4 @@
-package oatrelay;
+package burlarch.decisions;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/oatrelay/PolicyTest.java
+++ b/decisions/src/test/java/burlarch/decisions/PolicyTest.java
@@ -1,30 +1,30 @@
-package oatrelay;
+package burlarch.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.decisions.Api.Charges;
+import burlarch.decisions.Api.Ended;
+import burlarch.decisions.Api.Limits;
+import burlarch.decisions.Api.ListKind;
+import burlarch.decisions.Api.Obligations;
+import burlarch.decisions.Api.Outcome;
+import burlarch.decisions.Api.Repeat;
+import burlarch.decisions.Api.Request;
+import burlarch.decisions.Api.RequestClass;
+import burlarch.decisions.Api.Scope;
+import burlarch.decisions.Api.Server;
+import burlarch.decisions.Api.Settings;
+import burlarch.decisions.Api.Stage;
+import burlarch.decisions.Api.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import oatrelay.Api.Charges;
-import oatrelay.Api.Ended;
-import oatrelay.Api.Limits;
-import oatrelay.Api.ListKind;
-import oatrelay.Api.Obligations;
-import oatrelay.Api.Outcome;
-import oatrelay.Api.Repeat;
-import oatrelay.Api.Request;
-import oatrelay.Api.RequestClass;
-import oatrelay.Api.Scope;
-import oatrelay.Api.Server;
-import oatrelay.Api.Settings;
-import oatrelay.Api.Stage;
-import oatrelay.Api.Tenant;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
--- a/src/main/java/oatrelay/proxy/AnswerDecoder.java
+++ b/proxy/src/main/java/burlarch/proxy/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
--- a/src/main/java/oatrelay/proxy/ClientListener.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientListener.java
@@ -1,5 +1,6 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.proxy.ClientConnection.Use;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -16,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import oatrelay.proxy.ClientConnection.Use;
 
 /** The clients' side: takes connections while there is room, and ends those that are slow or make room. */
 final class ClientListener {
--- a/src/main/java/oatrelay/proxy/Features.java
+++ b/proxy/src/main/java/burlarch/proxy/Features.java
@@ -1,12 +1,12 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.proxy.hotlist.HotListSettings;
+import burlarch.proxy.multiget.MultiGetSettings;
+import burlarch.proxy.status.StatusSettings;
+import burlarch.proxy.tls.TlsSettings;
+import burlarch.settings.OperatorFile;
+import burlarch.settings.SettingsException;
 import java.nio.file.Path;
-import oatrelay.proxy.hotlist.HotListSettings;
-import oatrelay.proxy.multiget.MultiGetSettings;
-import oatrelay.proxy.settings.OperatorFile;
-import oatrelay.proxy.settings.SettingsException;
-import oatrelay.proxy.status.StatusSettings;
-import oatrelay.proxy.tls.TlsSettings;
 
 /** What the command line and the operator's file switch on; {@code hotList} is null without its flag. */
 public record Features(MultiGetSettings multiGet, HotListSettings hotList,
--- a/src/main/java/oatrelay/proxy/Log.java
+++ b/proxy/src/main/java/burlarch/proxy/Log.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import java.util.function.Supplier;
 
@@ -21,7 +21,7 @@
     static synchronized void inBackground() {
         if (writer == null) {
             writer = new LogWriter(System.err, WAITING_MOST);
-            Thread thread = new Thread(writer, "log");
+            Thread thread = new Thread(writer, "burlarch-log");
             thread.setDaemon(true);
             thread.start();
         }
@@ -33,12 +33,12 @@
         if (nowNanos - secondStartNanos >= 1_000_000_000L) {
             secondStartNanos = nowNanos;
             if (dropped > 0) {
-                write("ryefront: " + dropped + " lines left out");
+                write("burlarch: " + dropped + " lines left out");
             }
             lines = 0;
             dropped = 0;
         }
-        if (lines++ >= LINES_PER_SECOND || !write("ryefront: " + text)) {
+        if (lines++ >= LINES_PER_SECOND || !write("burlarch: " + text)) {
             dropped++;
         }
     }
--- a/src/main/java/oatrelay/proxy/LogWriter.java
+++ b/proxy/src/main/java/burlarch/proxy/LogWriter.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import java.io.PrintStream;
 import java.util.concurrent.BlockingQueue;
@@ -36,7 +36,7 @@
                     out.print(text.get());
                     out.flush();
                 } catch (RuntimeException e) {
-                    out.println("ryefront: a text for the log failed: " + e);
+                    out.println("burlarch: a text for the log failed: " + e);
                 }
             }
         } catch (InterruptedException e) {
--- a/src/main/java/oatrelay/proxy/LoopLag.java
+++ b/proxy/src/main/java/burlarch/proxy/LoopLag.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
--- a/src/main/java/oatrelay/proxy/MembershipWatch.java
+++ b/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
@@ -1,5 +1,11 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.decisions.Api.ListKind;
+import burlarch.decisions.Api.Server;
+import burlarch.decisions.Api.Stage;
+import burlarch.settings.Addresses;
+import burlarch.wire.Instance;
+import burlarch.wire.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -30,11 +36,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import oatrelay.Api.ListKind;
-import oatrelay.Api.Server;
-import oatrelay.Api.Stage;
-import oatrelay.wire.Instance;
-import oatrelay.wire.Json;
 
 /**
  * The list of nodes: what this proxy last had, then a watch on discovery's changes. The module decides when
@@ -185,7 +186,7 @@
 
     private static InetSocketAddress address(Json entry) throws IOException {
         try {
-            return ProxyConfig.parseAddress(entry.get("hostPort").text(""));
+            return Addresses.parse(entry.get("hostPort").text(""));
         } catch (IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
         }
--- a/src/main/java/oatrelay/proxy/NodeIds.java
+++ b/proxy/src/main/java/burlarch/proxy/NodeIds.java
@@ -1,9 +1,9 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.wire.WireHost;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongPredicate;
-import oatrelay.wire.WireHost;
 
 /**
  * The numbers of the listed nodes: digests of their names, as all proxies have to rank the nodes for a key
--- a/src/main/java/oatrelay/proxy/NodeMessages.java
+++ b/proxy/src/main/java/burlarch/proxy/NodeMessages.java
@@ -1,5 +1,6 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.decisions.Api.Outcome;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -9,7 +10,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import oatrelay.Api.Outcome;
 
 /** The form of what goes to a node, and what its answers mean. */
 final class NodeMessages {
--- a/src/main/java/oatrelay/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -1,5 +1,7 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.decisions.Api.Limits;
+import burlarch.decisions.Api.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -28,8 +30,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import oatrelay.Api.Limits;
-import oatrelay.Api.Outcome;
 
 /**
  * The connections to the nodes: opens, reuses and closes them, and tells how each call on one ended. A
--- a/src/main/java/oatrelay/proxy/ProxyConfig.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyConfig.java
@@ -1,15 +1,14 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.settings.Addresses;
+import burlarch.wire.Json;
+import burlarch.wire.WireHost;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
-import oatrelay.wire.Json;
-import oatrelay.wire.WireHost;
 
 /** What the deployment tells this proxy. */
 public record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
@@ -17,7 +16,6 @@
     /** Descriptors that the platform grants at least. */
     static final int SOCKETS_LEAST = 256;
 
-
     /** The configuration is missing or broken; the message is for the operator. */
     static final class ConfigException extends Exception {
         private static final long serialVersionUID = 1L;
@@ -58,30 +56,12 @@
             throw new ConfigException(file + ": " + field + " is missing");
         }
         try {
-            return parseAddress(text);
+            return Addresses.parse(text);
         } catch (IllegalArgumentException e) {
             throw new ConfigException(file + ": " + field + " is not an address and a port: " + text);
         }
     }
 
-    /** A literal address and a port, as {@code 10.0.0.4:8081}: there is no DNS, and a look-up would block. */
-    public static InetSocketAddress parseAddress(String hostPort) {
-        int colon = hostPort.lastIndexOf(':');
-        String host = colon < 0 ? "" : hostPort.substring(0, colon);
-        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
-            throw new IllegalArgumentException("not a literal address: " + hostPort);
-        }
-        try {
-            int port = Integer.parseInt(hostPort.substring(colon + 1));
-            if (port == 0) {
-                throw new IllegalArgumentException("no port: " + hostPort);
-            }
-            return new InetSocketAddress(InetAddress.getByName(host), port);
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("not a literal address: " + hostPort, e);
-        }
-    }
-
     private static String firstLine(Exception e) {
         String text = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
         return text.lines().findFirst().orElse("unreadable");
--- a/src/main/java/oatrelay/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -1,10 +1,22 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.decisions.Api.RequestClass;
+import burlarch.proxy.command.SignalCommand;
+import burlarch.proxy.hotlist.HotList;
+import burlarch.proxy.multiget.MultiGet;
+import burlarch.proxy.status.StatusBoard;
+import burlarch.proxy.status.StatusPage;
+import burlarch.proxy.tls.TlsPort;
+import burlarch.settings.SettingsException;
+import burlarch.wire.Instance;
+import burlarch.wire.Json;
+import burlarch.wire.WireHost;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -23,20 +35,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import oatrelay.Api.RequestClass;
-import oatrelay.proxy.command.SignalCommand;
-import oatrelay.proxy.hotlist.HotList;
-import oatrelay.proxy.multiget.MultiGet;
-import oatrelay.proxy.settings.SettingsException;
-import oatrelay.proxy.status.StatusBoard;
-import oatrelay.proxy.status.StatusPage;
-import oatrelay.proxy.tls.TlsPort;
-import oatrelay.wire.Instance;
-import oatrelay.wire.Json;
-import oatrelay.wire.WireHost;
 import sun.misc.Signal;
 
-/** The program: {@code serve} is one real proxy, {@code wirehost} the decisions on the simulator's wire. */
+/** The program: {@code serve} is one real proxy, {@code drill} the decisions on the simulator's wire. */
 public final class ProxyMain {
     /** After SIGTERM, connections come for 0.4 s more. */
     private static final long ACCEPT_ON_MS = 450;
@@ -69,7 +70,8 @@
      */
     private static final Logger NETTY_LOG = Logger.getLogger("io.netty");
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("burlarch-loop"), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final ProxyClock clock = new ProxyClock();
@@ -102,7 +104,7 @@
     }
 
     public static void main(String[] args) throws IOException, InterruptedException {
-        if (args.length == 1 && args[0].equals("wirehost")) {
+        if (args.length == 1 && args[0].equals("drill")) {
             WireHost.main(args);
         } else if (args.length > 0 && args[0].equals("serve") && Features.Arguments.parse(args) != null) {
             serve(Features.Arguments.parse(args));
@@ -113,13 +115,13 @@
         } else if (args.length > 0 && args[0].equals("tls-reload")) {
             signal(new SignalCommand("tls-reload", "URG", SIGURG, "TLS port"), args);
         } else {
-            System.err.println("usage: oatrelay serve [--hot-list] [--config FILE]\n"
+            System.err.println("usage: burlarch serve [--hot-list] [--config FILE]\n"
                     + "            (one proxy, set up by EDGE_CONFIG and the operator's FILE)\n"
-                    + "       oatrelay rehearse [--hot-list] [--config FILE]\n"
+                    + "       burlarch rehearse [--hot-list] [--config FILE]\n"
                     + "            (starts one on loopback and ends: loads what serve needs)\n"
-                    + "       oatrelay hot-list --pid PID     (has that proxy write its hot list)\n"
-                    + "       oatrelay tls-reload --pid PID   (has it read its certificates again)\n"
-                    + "       oatrelay wirehost   (reads events on standard input, writes actions)");
+                    + "       burlarch hot-list --pid PID     (has that proxy write its hot list)\n"
+                    + "       burlarch tls-reload --pid PID   (has it read its certificates again)\n"
+                    + "       burlarch drill   (reads events on standard input, writes actions)");
             System.exit(2);
         }
     }
@@ -146,7 +148,7 @@
                 Signal.handle(new Signal("URG"), signal -> main.reloadCertificates());
             }
             main.start(config);
-            Runtime.getRuntime().addShutdownHook(new Thread(main::drain, "drain"));
+            Runtime.getRuntime().addShutdownHook(new Thread(main::drain, "burlarch-drain"));
         } catch (ProxyConfig.ConfigException | SettingsException e) {
             exit(e.getMessage());
         } catch (ExecutionException e) {
@@ -180,7 +182,7 @@
     }
 
     private static void exit(String message) {
-        System.err.println("ryefront: " + message);
+        System.err.println("burlarch: " + message);
         System.exit(1);
     }
 
--- a/src/main/java/oatrelay/proxy/Rejection.java
+++ b/proxy/src/main/java/burlarch/proxy/Rejection.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 
--- a/src/main/java/oatrelay/proxy/RequestCollector.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestCollector.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/oatrelay/proxy/RequestReader.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestReader.java
@@ -1,5 +1,8 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.decisions.Api.Repeat;
+import burlarch.wire.Instance;
+import burlarch.wire.WireHost;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -11,9 +14,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import oatrelay.Api.Repeat;
-import oatrelay.wire.Instance;
-import oatrelay.wire.WireHost;
 
 /** Makes of a client's request what the module is told, or says what is wrong with it. */
 public final class RequestReader {
--- a/src/main/java/oatrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -1,5 +1,12 @@
-package oatrelay.proxy;
-
+package burlarch.proxy;
+
+import burlarch.decisions.Api;
+import burlarch.decisions.Api.Ended;
+import burlarch.decisions.Api.Outcome;
+import burlarch.decisions.Api.Request;
+import burlarch.decisions.Policy;
+import burlarch.wire.Instance;
+import burlarch.wire.Json;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
@@ -9,13 +16,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
-import oatrelay.Api;
-import oatrelay.Api.Ended;
-import oatrelay.Api.Outcome;
-import oatrelay.Api.Request;
-import oatrelay.Policy;
-import oatrelay.wire.Instance;
-import oatrelay.wire.Json;
 
 /**
  * The requests that are owed an answer, with their attempts and deadlines, and the module's only caller.
--- a/src/main/java/oatrelay/proxy/SocketShares.java
+++ b/proxy/src/main/java/burlarch/proxy/SocketShares.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 /**
  * How the descriptors that the platform grants are shared out. Without a reserve, an accept, a connect or a
--- a/src/main/java/oatrelay/proxy/WarmUp.java
+++ b/proxy/src/main/java/burlarch/proxy/WarmUp.java
@@ -1,5 +1,10 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
+import burlarch.decisions.Api.ListKind;
+import burlarch.decisions.Api.Server;
+import burlarch.decisions.Api.Stage;
+import burlarch.wire.Instance;
+import burlarch.wire.Json;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -8,11 +13,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import oatrelay.Api.ListKind;
-import oatrelay.Api.Server;
-import oatrelay.Api.Stage;
-import oatrelay.wire.Instance;
-import oatrelay.wire.Json;
 
 /**
  * Runs requests through a throw-away copy of the program before it says that it is ready, without a socket.
--- a/src/main/java/oatrelay/proxy/command/SignalCommand.java
+++ b/proxy/src/main/java/burlarch/proxy/command/SignalCommand.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.command;
+package burlarch.proxy.command;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -56,7 +56,7 @@
 
     private static boolean serves(List<String> words) {
         int jar = words.indexOf("-jar") + 1;
-        return jar > 0 && jar + 1 < words.size() && Path.of(words.get(jar)).endsWith("oatrelay.jar")
+        return jar > 0 && jar + 1 < words.size() && Path.of(words.get(jar)).endsWith("burlarch.jar")
                 && words.get(jar + 1).equals("serve");
     }
 
--- a/src/main/java/oatrelay/proxy/hotlist/HotKey.java
+++ b/proxy/src/main/java/burlarch/proxy/hotlist/HotKey.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.hotlist;
+package burlarch.proxy.hotlist;
 
 /**
  * What is counted: a key with the tenant that asked for it. Bounded, as both are a client's to choose; where
--- a/src/main/java/oatrelay/proxy/hotlist/HotList.java
+++ b/proxy/src/main/java/burlarch/proxy/hotlist/HotList.java
@@ -1,13 +1,13 @@
-package oatrelay.proxy.hotlist;
+package burlarch.proxy.hotlist;
 
+import burlarch.proxy.Log;
+import burlarch.proxy.RequestTable;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
-import oatrelay.proxy.Log;
-import oatrelay.proxy.RequestTable;
 
 /**
  * The keys that are asked for most, by class. Counts on the loop and copies there; what takes longer, the
--- a/src/main/java/oatrelay/proxy/hotlist/HotListReport.java
+++ b/proxy/src/main/java/burlarch/proxy/hotlist/HotListReport.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.hotlist;
+package burlarch.proxy.hotlist;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/src/main/java/oatrelay/proxy/hotlist/HotListSettings.java
+++ b/proxy/src/main/java/burlarch/proxy/hotlist/HotListSettings.java
@@ -1,7 +1,7 @@
-package oatrelay.proxy.hotlist;
+package burlarch.proxy.hotlist;
 
-import oatrelay.proxy.settings.Section;
-import oatrelay.proxy.settings.SettingsException;
+import burlarch.settings.Section;
+import burlarch.settings.SettingsException;
 
 /** The hot list's figures: counters a class, the half-life of its rates, and the entries that are shown. */
 public record HotListSettings(int capacity, long halfLifeNanos, int show) {
--- a/src/main/java/oatrelay/proxy/hotlist/SpaceSaving.java
+++ b/proxy/src/main/java/burlarch/proxy/hotlist/SpaceSaving.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.hotlist;
+package burlarch.proxy.hotlist;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/oatrelay/proxy/multiget/AnswerBytes.java
+++ b/proxy/src/main/java/burlarch/proxy/multiget/AnswerBytes.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
 /**
  * The bytes of all bodies that wait for the other lines of their multi-get, or for a client that reads
--- a/src/main/java/oatrelay/proxy/multiget/Batch.java
+++ b/proxy/src/main/java/burlarch/proxy/multiget/Batch.java
@@ -1,5 +1,6 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
+import burlarch.proxy.RequestTable;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -8,7 +9,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import oatrelay.proxy.RequestTable;
 
 /** The lines of one multi-get: sent at once, answered together when the last of them is final. */
 final class Batch {
--- a/src/main/java/oatrelay/proxy/multiget/Line.java
+++ b/proxy/src/main/java/burlarch/proxy/multiget/Line.java
@@ -1,12 +1,12 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
+import burlarch.proxy.Rejection;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
-import oatrelay.proxy.Rejection;
 
 /** One line of a multi-get's body: a request's id and its key. */
 record Line(String id, String key) {
--- a/src/main/java/oatrelay/proxy/multiget/MultiGet.java
+++ b/proxy/src/main/java/burlarch/proxy/multiget/MultiGet.java
@@ -1,5 +1,10 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
+import burlarch.proxy.Headers;
+import burlarch.proxy.Rejection;
+import burlarch.proxy.RequestHandler;
+import burlarch.proxy.RequestReader;
+import burlarch.proxy.RequestTable;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -18,11 +23,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
-import oatrelay.proxy.Headers;
-import oatrelay.proxy.Rejection;
-import oatrelay.proxy.RequestHandler;
-import oatrelay.proxy.RequestReader;
-import oatrelay.proxy.RequestTable;
 
 /**
  * The multi-get port: several reads in one round trip. Each line is an ordinary request of the table, under
--- a/src/main/java/oatrelay/proxy/multiget/MultiGetSettings.java
+++ b/proxy/src/main/java/burlarch/proxy/multiget/MultiGetSettings.java
@@ -1,8 +1,8 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
+import burlarch.settings.Section;
+import burlarch.settings.SettingsException;
 import java.net.InetSocketAddress;
-import oatrelay.proxy.settings.Section;
-import oatrelay.proxy.settings.SettingsException;
 
 /** The multi-get port; {@code listen} is null where the port is off. */
 public record MultiGetSettings(InetSocketAddress listen, int maxKeys) {
--- a/src/main/java/oatrelay/proxy/status/Pages.java
+++ b/proxy/src/main/java/burlarch/proxy/status/Pages.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/src/main/java/oatrelay/proxy/status/Snapshot.java
+++ b/proxy/src/main/java/burlarch/proxy/status/Snapshot.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
 import java.util.List;
 
--- a/src/main/java/oatrelay/proxy/status/StatusBoard.java
+++ b/proxy/src/main/java/burlarch/proxy/status/StatusBoard.java
@@ -1,5 +1,9 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
+import burlarch.decisions.Api.Outcome;
+import burlarch.proxy.MembershipWatch;
+import burlarch.proxy.MembershipWatch.Member;
+import burlarch.proxy.RequestTable;
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
@@ -10,10 +14,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import oatrelay.Api.Outcome;
-import oatrelay.proxy.MembershipWatch;
-import oatrelay.proxy.MembershipWatch.Member;
-import oatrelay.proxy.RequestTable;
 
 /** Collects on the loop what the page shows: the list of servers, their errors, and the load by class. */
 public final class StatusBoard implements RequestTable.Observer, MembershipWatch.Observer {
--- a/src/main/java/oatrelay/proxy/status/StatusConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/status/StatusConnection.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
--- a/src/main/java/oatrelay/proxy/status/StatusPage.java
+++ b/proxy/src/main/java/burlarch/proxy/status/StatusPage.java
@@ -1,5 +1,6 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
+import burlarch.proxy.Log;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -21,7 +22,6 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import oatrelay.proxy.Log;
 
 /**
  * Serves the status page on a thread of its own. The loop of the requests only gathers a snapshot now and
--- a/src/main/java/oatrelay/proxy/status/StatusSettings.java
+++ b/proxy/src/main/java/burlarch/proxy/status/StatusSettings.java
@@ -1,7 +1,7 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
-import oatrelay.proxy.settings.Section;
-import oatrelay.proxy.settings.SettingsException;
+import burlarch.settings.Section;
+import burlarch.settings.SettingsException;
 
 /** The status page; {@code port} is null where it is off. */
 public record StatusSettings(Integer port, int refreshMs) {
--- a/src/main/java/oatrelay/proxy/tls/Certificates.java
+++ b/proxy/src/main/java/burlarch/proxy/tls/Certificates.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
 import io.netty.handler.ssl.ClientAuth;
 import io.netty.handler.ssl.SslContext;
--- a/src/main/java/oatrelay/proxy/tls/NamedRequests.java
+++ b/proxy/src/main/java/burlarch/proxy/tls/NamedRequests.java
@@ -1,13 +1,13 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
+import burlarch.proxy.Headers;
+import burlarch.proxy.Log;
+import burlarch.proxy.Rejection;
+import burlarch.proxy.RequestHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import javax.net.ssl.SSLEngine;
 import javax.net.ssl.SSLPeerUnverifiedException;
 import javax.security.auth.x500.X500Principal;
-import oatrelay.proxy.Headers;
-import oatrelay.proxy.Log;
-import oatrelay.proxy.Rejection;
-import oatrelay.proxy.RequestHandler;
 
 /** The requests of one TLS connection, each logged with the subject of its client's certificate, if any. */
 final class NamedRequests implements RequestHandler {
@@ -53,7 +53,7 @@
 
     /** The subject comes last, as it may hold blanks; the id may not, or it could name another subject. */
     static String line(String id, String subject) {
-        return "ryefront: X-Request-ID " + printable(id, '!', ID_LONGEST) + " client "
+        return "burlarch: X-Request-ID " + printable(id, '!', ID_LONGEST) + " client "
                 + printable(subject, ' ', SUBJECT_LONGEST) + "\n";
     }
 
--- a/src/main/java/oatrelay/proxy/tls/PemKey.java
+++ b/proxy/src/main/java/burlarch/proxy/tls/PemKey.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/oatrelay/proxy/tls/TlsPort.java
+++ b/proxy/src/main/java/burlarch/proxy/tls/TlsPort.java
@@ -1,5 +1,8 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
+import burlarch.proxy.Log;
+import burlarch.proxy.RequestHandler;
+import burlarch.settings.SettingsException;
 import io.netty.channel.Channel;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslHandler;
@@ -8,9 +11,6 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import oatrelay.proxy.Log;
-import oatrelay.proxy.RequestHandler;
-import oatrelay.proxy.settings.SettingsException;
 
 /**
  * The TLS port: what is behind the handshake is the plain port's. Certificates are read and checked on a
@@ -23,7 +23,7 @@
 
     private final TlsSettings settings;
     private final ScheduledExecutorService loader = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "tls");
+        Thread thread = new Thread(task, "burlarch-tls");
         thread.setDaemon(true);
         return thread;
     });
--- a/src/main/java/oatrelay/proxy/tls/TlsSettings.java
+++ b/proxy/src/main/java/burlarch/proxy/tls/TlsSettings.java
@@ -1,10 +1,10 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
+import burlarch.settings.Section;
+import burlarch.settings.SettingsException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
-import oatrelay.proxy.settings.Section;
-import oatrelay.proxy.settings.SettingsException;
 
 /** The TLS port; {@code listen} is null where it is off, {@code clientCa} where none is asked for. */
 public record TlsSettings(InetSocketAddress listen, Path certFile, Path keyFile, String minVersion,
--- a/src/main/java/oatrelay/wire/Instance.java
+++ b/proxy/src/main/java/burlarch/wire/Instance.java
@@ -1,18 +1,18 @@
-package oatrelay.wire;
+package burlarch.wire;
 
+import burlarch.decisions.Api;
+import burlarch.decisions.Api.Charges;
+import burlarch.decisions.Api.Limits;
+import burlarch.decisions.Api.Obligations;
+import burlarch.decisions.Api.Repeat;
+import burlarch.decisions.Api.RequestClass;
+import burlarch.decisions.Api.Scope;
+import burlarch.decisions.Api.Settings;
+import burlarch.decisions.Api.Tenant;
+import burlarch.decisions.Policy;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import oatrelay.Api;
-import oatrelay.Api.Charges;
-import oatrelay.Api.Limits;
-import oatrelay.Api.Obligations;
-import oatrelay.Api.Repeat;
-import oatrelay.Api.RequestClass;
-import oatrelay.Api.Scope;
-import oatrelay.Api.Settings;
-import oatrelay.Api.Tenant;
-import oatrelay.Policy;
 
 /** One instance of the module with the names that its settings give to numbers. */
 public final class Instance {
--- a/src/main/java/oatrelay/wire/Json.java
+++ b/proxy/src/main/java/burlarch/wire/Json.java
@@ -1,4 +1,4 @@
-package oatrelay.wire;
+package burlarch.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/oatrelay/wire/ReplyWriter.java
+++ b/proxy/src/main/java/burlarch/wire/ReplyWriter.java
@@ -1,9 +1,9 @@
-package oatrelay.wire;
+package burlarch.wire;
 
+import burlarch.decisions.Api;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import oatrelay.Api;
 
 /** Writes the actions of one instance into the reply that is being written. */
 final class ReplyWriter implements Api.Actions {
--- a/src/main/java/oatrelay/wire/WireHost.java
+++ b/proxy/src/main/java/burlarch/wire/WireHost.java
@@ -1,7 +1,14 @@
-package oatrelay.wire;
+package burlarch.wire;
 
-import static oatrelay.wire.Instance.number;
+import static burlarch.wire.Instance.number;
 
+import burlarch.decisions.Api;
+import burlarch.decisions.Api.Ended;
+import burlarch.decisions.Api.ListKind;
+import burlarch.decisions.Api.Outcome;
+import burlarch.decisions.Api.Request;
+import burlarch.decisions.Api.Server;
+import burlarch.decisions.Api.Stage;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -14,13 +21,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import oatrelay.Api;
-import oatrelay.Api.Ended;
-import oatrelay.Api.ListKind;
-import oatrelay.Api.Outcome;
-import oatrelay.Api.Request;
-import oatrelay.Api.Server;
-import oatrelay.Api.Stage;
 
 /** Hosts many instances of the module on the wire: a line of events in, a line of actions out. */
 public final class WireHost {
@@ -70,14 +70,14 @@
     }
 
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: oatrelay wirehost   (reads events on standard input, writes actions)");
+        if (args.length != 1 || !args[0].equals("drill")) {
+            System.err.println("usage: burlarch drill   (reads events on standard input, writes actions)");
             System.exit(2);
         }
         try {
             new WireHost().run(System.in, System.out);
         } catch (WireException e) {
-            System.err.println("oatrelay: " + e.getMessage());
+            System.err.println("burlarch: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/test/java/oatrelay/proxy/DrainTest.java
+++ b/proxy/src/test/java/burlarch/proxy/DrainTest.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/oatrelay/proxy/WarmUpTest.java
+++ b/proxy/src/test/java/burlarch/proxy/WarmUpTest.java
@@ -1,12 +1,12 @@
-package oatrelay.proxy;
+package burlarch.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import burlarch.wire.Json;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.concurrent.TimeUnit;
-import oatrelay.wire.Json;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
--- a/src/test/java/oatrelay/proxy/command/SignalCommandTest.java
+++ b/proxy/src/test/java/burlarch/proxy/command/SignalCommandTest.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.command;
+package burlarch.proxy.command;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/oatrelay/proxy/hotlist/HotListTest.java
+++ b/proxy/src/test/java/burlarch/proxy/hotlist/HotListTest.java
@@ -1,12 +1,12 @@
-package oatrelay.proxy.hotlist;
+package burlarch.proxy.hotlist;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.settings.OperatorFile;
 import java.util.List;
-import oatrelay.proxy.settings.OperatorFile;
 import org.junit.jupiter.api.Test;
 
 /** What is kept of a key, and the lines that are written. */
--- a/src/test/java/oatrelay/proxy/hotlist/SpaceSavingTest.java
+++ b/proxy/src/test/java/burlarch/proxy/hotlist/SpaceSavingTest.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.hotlist;
+package burlarch.proxy.hotlist;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/oatrelay/proxy/multiget/AnswerBytesTest.java
+++ b/proxy/src/test/java/burlarch/proxy/multiget/AnswerBytesTest.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/oatrelay/proxy/multiget/LineTest.java
+++ b/proxy/src/test/java/burlarch/proxy/multiget/LineTest.java
@@ -1,10 +1,10 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import burlarch.proxy.Rejection;
 import java.util.List;
-import oatrelay.proxy.Rejection;
 import org.junit.jupiter.api.Test;
 
 /** The form of a multi-get's body. */
--- a/src/test/java/oatrelay/proxy/multiget/MultiGetTest.java
+++ b/proxy/src/test/java/burlarch/proxy/multiget/MultiGetTest.java
@@ -1,9 +1,12 @@
-package oatrelay.proxy.multiget;
+package burlarch.proxy.multiget;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.proxy.FakeServer;
+import burlarch.proxy.Features;
+import burlarch.proxy.Fixture;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -14,9 +17,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import oatrelay.proxy.FakeServer;
-import oatrelay.proxy.Features;
-import oatrelay.proxy.Fixture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/oatrelay/proxy/status/StatusBoardTest.java
+++ b/proxy/src/test/java/burlarch/proxy/status/StatusBoardTest.java
@@ -1,15 +1,15 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.decisions.Api.Outcome;
+import burlarch.proxy.MembershipWatch.Member;
+import burlarch.proxy.RequestTable.Arrival;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import oatrelay.Api.Outcome;
-import oatrelay.proxy.MembershipWatch.Member;
-import oatrelay.proxy.RequestTable.Arrival;
 import org.junit.jupiter.api.Test;
 
 /** What is collected, on clocks that the test moves, and both forms of it. */
--- a/src/test/java/oatrelay/proxy/status/StatusPageTest.java
+++ b/proxy/src/test/java/burlarch/proxy/status/StatusPageTest.java
@@ -1,9 +1,12 @@
-package oatrelay.proxy.status;
+package burlarch.proxy.status;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.proxy.FakeServer;
+import burlarch.proxy.Features;
+import burlarch.proxy.Fixture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -12,9 +15,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import oatrelay.proxy.FakeServer;
-import oatrelay.proxy.Features;
-import oatrelay.proxy.Fixture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/oatrelay/proxy/tls/Authority.java
+++ b/proxy/src/test/java/burlarch/proxy/tls/Authority.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
 import io.netty.pkitesting.CertificateBuilder;
 import io.netty.pkitesting.X509Bundle;
--- a/src/test/java/oatrelay/proxy/tls/CertificatesTest.java
+++ b/proxy/src/test/java/burlarch/proxy/tls/CertificatesTest.java
@@ -1,10 +1,11 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.settings.SettingsException;
 import io.netty.pkitesting.CertificateBuilder;
 import io.netty.pkitesting.X509Bundle;
 import java.io.IOException;
@@ -18,7 +19,6 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.HexFormat;
-import oatrelay.proxy.settings.SettingsException;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
--- a/src/test/java/oatrelay/proxy/tls/TlsPortTest.java
+++ b/proxy/src/test/java/burlarch/proxy/tls/TlsPortTest.java
@@ -1,10 +1,13 @@
-package oatrelay.proxy.tls;
+package burlarch.proxy.tls;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.proxy.FakeServer;
+import burlarch.proxy.Features;
+import burlarch.proxy.Fixture;
 import java.io.IOException;
 import java.io.InputStream;
 import java.math.BigInteger;
@@ -19,9 +22,6 @@
 import java.util.List;
 import javax.net.ssl.SSLException;
 import javax.net.ssl.SSLSocket;
-import oatrelay.proxy.FakeServer;
-import oatrelay.proxy.Features;
-import oatrelay.proxy.Fixture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/oatrelay/wire/Transcript.java
+++ b/proxy/src/test/java/burlarch/wire/Transcript.java
@@ -1,4 +1,4 @@
-package oatrelay.wire;
+package burlarch.wire;
 
 /** Lines of the wire for tests: one cache, one origin, one class of reads. */
 final class Transcript {
--- a/src/test/java/oatrelay/wire/WireHostTest.java
+++ b/proxy/src/test/java/burlarch/wire/WireHostTest.java
@@ -1,4 +1,4 @@
-package oatrelay.wire;
+package burlarch.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
--- /dev/null
+++ b/settings/src/main/java/burlarch/settings/Addresses.java
@@ -0,0 +1,29 @@
+package burlarch.settings;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses as they stand in files and lists. */
+public final class Addresses {
+    private Addresses() {
+    }
+
+    /** A literal address and a port, as {@code 10.0.0.4:8081}: there is no DNS, and a look-up would block. */
+    public static InetSocketAddress parse(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        String host = colon < 0 ? "" : hostPort.substring(0, colon);
+        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+            throw new IllegalArgumentException("not a literal address: " + hostPort);
+        }
+        try {
+            int port = Integer.parseInt(hostPort.substring(colon + 1));
+            if (port == 0) {
+                throw new IllegalArgumentException("no port: " + hostPort);
+            }
+            return new InetSocketAddress(InetAddress.getByName(host), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("not a literal address: " + hostPort, e);
+        }
+    }
+}
--- a/src/main/java/oatrelay/proxy/settings/OperatorFile.java
+++ b/settings/src/main/java/burlarch/settings/OperatorFile.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.settings;
+package burlarch.settings;
 
 import com.electronwill.nightconfig.core.UnmodifiableConfig;
 import com.electronwill.nightconfig.core.io.ParsingException;
--- a/src/main/java/oatrelay/proxy/settings/Section.java
+++ b/settings/src/main/java/burlarch/settings/Section.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.settings;
+package burlarch.settings;
 
 import java.net.InetSocketAddress;
 import java.nio.file.InvalidPathException;
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import oatrelay.proxy.ProxyConfig;
 
 /** One table of the operator's file. Every getter names file and key when the value is not of its kind. */
 public final class Section {
@@ -100,7 +99,7 @@
         }
         try {
             if (value instanceof String text) {
-                return ProxyConfig.parseAddress(text);
+                return Addresses.parse(text);
             }
         } catch (IllegalArgumentException e) {
             // Said below, as for a value of another type.
--- a/src/main/java/oatrelay/proxy/settings/SettingsException.java
+++ b/settings/src/main/java/burlarch/settings/SettingsException.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.settings;
+package burlarch.settings;
 
 /** The operator's file is missing or broken; the message is for the operator, one line with file and key. */
 public final class SettingsException extends Exception {
--- a/src/test/java/oatrelay/proxy/settings/OperatorFileTest.java
+++ b/settings/src/test/java/burlarch/settings/OperatorFileTest.java
@@ -1,4 +1,4 @@
-package oatrelay.proxy.settings;
+package burlarch.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
