--- a/settings/src/main/java/burlarch/settings/OperatorFile.java
+++ b/settings/src/main/java/burlarch/settings/OperatorFile.java
@@ -9,8 +9,11 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The operator's TOML file, read once at the start. Each feature reads its section; whatever nobody has read
@@ -19,7 +22,8 @@
 public final class OperatorFile {
     private final String name;
     private final Map<String, Object> values;
-    private final Map<String, Section> sections = new LinkedHashMap<>();
+    private final List<Section> sections = new ArrayList<>();
+    private final Set<String> read = new HashSet<>();
 
     private OperatorFile(String name, Map<String, Object> values) {
         this.name = name;
@@ -43,7 +47,8 @@
         }
     }
 
-    static OperatorFile parse(String name, String text) throws SettingsException {
+    /** @param name of the file, for messages */
+    public static OperatorFile parse(String name, String text) throws SettingsException {
         try {
             return new OperatorFile(name, new TomlParser().parse(new StringReader(text)).valueMap());
         } catch (ParsingException e) {
@@ -55,23 +60,52 @@
     /** The table of one feature, empty where the file has none. */
     public Section section(String table) throws SettingsException {
         Object value = values.get(table);
+        read.add(table);
         if (value != null && !(value instanceof UnmodifiableConfig)) {
             throw new SettingsException(name + ": " + table + " must be a table");
         }
         Section section = new Section(name, table,
                 value == null ? Map.of() : ((UnmodifiableConfig) value).valueMap());
-        sections.put(table, section);
+        sections.add(section);
         return section;
     }
 
+    /** The tables that the file repeats under one name, as {@code [[name]]}, in its order. */
+    public List<Section> sections(String table) throws SettingsException {
+        Object value = values.get(table);
+        read.add(table);
+        if (value == null) {
+            return List.of();
+        }
+        List<Section> found = new ArrayList<>();
+        for (Object one : value instanceof List<?> list ? list : List.of(value)) {
+            if (!(one instanceof UnmodifiableConfig config) || !(value instanceof List<?>)) {
+                throw new SettingsException(name + ": " + table + " must be tables, each begun by [["
+                        + table + "]]");
+            }
+            found.add(new Section(name, table + "[" + found.size() + "]", config.valueMap()));
+        }
+        sections.addAll(found);
+        return found;
+    }
+
+    /** Whether the file has that table, read or not. */
+    public boolean has(String table) {
+        return values.containsKey(table);
+    }
+
+    public SettingsException wrong(String key, String what) {
+        return new SettingsException(name + ": " + key + " " + what);
+    }
+
     /** To be called once every feature has read its section. */
     public void refuseUnread() throws SettingsException {
         for (String table : values.keySet()) {
-            if (!sections.containsKey(table)) {
+            if (!read.contains(table)) {
                 throw new SettingsException(name + ": unknown key " + table);
             }
         }
-        for (Section section : sections.values()) {
+        for (Section section : sections) {
             section.refuseUnread();
         }
     }
--- a/settings/src/main/java/burlarch/settings/Section.java
+++ b/settings/src/main/java/burlarch/settings/Section.java
@@ -58,6 +58,55 @@
         throw wrong(key, "must be one of \"" + String.join("\", \"", words) + "\"");
     }
 
+    /** Any text that is not empty. */
+    public String text(String key, String otherwise) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof String text && !text.isBlank()) {
+            return text;
+        }
+        throw wrong(key, "must be a text");
+    }
+
+    public boolean flag(String key, boolean otherwise) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        throw wrong(key, "must be true or false");
+    }
+
+    /** A list of texts; empty where none is given. */
+    public List<String> texts(String key) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof List<?> list && list.stream().allMatch(one -> one instanceof String)) {
+            return list.stream().map(String.class::cast).toList();
+        }
+        throw wrong(key, "must be a list of texts");
+    }
+
+    public boolean has(String key) {
+        return values.containsKey(key);
+    }
+
+    /** What must stand there, for getters that have no default. */
+    public Section need(String... keys) throws SettingsException {
+        for (String key : keys) {
+            if (!values.containsKey(key)) {
+                throw wrong(key, "is missing");
+            }
+        }
+        return this;
+    }
+
     /** A file's path; null where none is given. */
     public Path path(String key) throws SettingsException {
         Object value = value(key);
--- /dev/null
+++ b/standins/src/main/java/burlarch/standins/model/Job.java
@@ -0,0 +1,20 @@
+package burlarch.standins.model;
+
+/** A request at a server: the work that is left of it, on a standard core. One server's, and one thread's. */
+public class Job {
+    final long workNanos;
+    double leftNanos;
+    /** Where it stands; the server's to change. */
+    State state = State.NEW;
+
+    enum State { NEW, WAITING, RUNNING, OVER }
+
+    public Job(long workNanos) {
+        this.workNanos = workNanos;
+        this.leftNanos = workNanos;
+    }
+
+    public long workNanos() {
+        return workNanos;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/burlarch/standins/net/Transport.java
@@ -0,0 +1,32 @@
+package burlarch.standins.net;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/**
+ * The one choice of transport. It is the JDK's, whose selector sleeps whole milliseconds: a timer of a loop
+ * that has nothing else to do is up to 1 ms late.
+ */
+public final class Transport {
+    private Transport() {
+    }
+
+    public static EventLoopGroup group(int threads, String name) {
+        return new MultiThreadIoEventLoopGroup(threads, new DefaultThreadFactory(name, true),
+                NioIoHandler.newFactory());
+    }
+
+    public static Class<? extends ServerChannel> server() {
+        return NioServerSocketChannel.class;
+    }
+
+    public static Class<? extends SocketChannel> client() {
+        return NioSocketChannel.class;
+    }
+}
