--- /dev/null
+++ b/lab/src/main/java/burlarch/lab/load/AskSource.java
@@ -0,0 +1,127 @@
+package burlarch.lab.load;
+
+import burlarch.standins.fleet.FleetPlan;
+import burlarch.standins.model.Draw;
+import burlarch.trace.TraceReader;
+import burlarch.trace.TraceRecord;
+import burlarch.trace.TraceWriter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All requests of a run, fixed before it begins, by number in the order in which they are due. Any thread.
+ */
+interface AskSource {
+    int count();
+
+    long dueNanos(int number);
+
+    Ask ask(int number);
+
+    /** The same request once more, under an id of its own. */
+    Ask again(Ask ask, long dueNanos);
+
+    static AskSource of(LoadPlan plan) throws IOException {
+        return plan.replay() == null ? scheduled(plan) : replayed(plan);
+    }
+
+    private static AskSource scheduled(LoadPlan plan) {
+        long[] due = Schedule.of(plan.shape(), plan.seconds(), plan.poisson(), plan.seed());
+        Mix mix = new Mix(plan);
+        return new AskSource() {
+            @Override
+            public int count() {
+                return due.length;
+            }
+
+            @Override
+            public long dueNanos(int number) {
+                return due[number];
+            }
+
+            @Override
+            public Ask ask(int number) {
+                return mix.ask(number, due[number]);
+            }
+
+            @Override
+            public Ask again(Ask ask, long dueNanos) {
+                return mix.again(ask, dueNanos);
+            }
+        };
+    }
+
+    /** A trace's requests with their gaps; its classes and tenants must be the plan's. */
+    private static AskSource replayed(LoadPlan plan) throws IOException {
+        Map<String, Integer> classes = new HashMap<>();
+        for (FleetPlan.RequestKind kind : plan.classes()) {
+            classes.put(kind.name(), classes.size());
+        }
+        Map<String, Integer> tenants = new HashMap<>();
+        for (LoadPlan.Tenant tenant : plan.tenants()) {
+            tenants.put(tenant.name(), tenants.size());
+        }
+        Mix mix = new Mix(plan);
+        List<Ask> asks = new ArrayList<>();
+        long untilNanos = (long) (plan.seconds() * 1e9);
+        try (TraceReader reader = new TraceReader(plan.replay())) {
+            for (TraceRecord r = reader.next(); r != null; r = reader.next()) {
+                if (r.dueNanos() >= untilNanos) {
+                    // Read on: a trace that is damaged further on should not pass for a good one.
+                    continue;
+                }
+                Integer requestClass = classes.get(r.requestClass());
+                Integer tenant = tenants.getOrDefault(r.tenant(), plan.tenants().size() == 1 ? 0 : null);
+                if (requestClass == null || tenant == null) {
+                    throw new IOException(plan.replay() + ": record " + asks.size() + " is of "
+                            + (requestClass == null ? "class " + r.requestClass() : "tenant " + r.tenant())
+                            + ", which the file of this load does not have");
+                }
+                String id = Mix.id(Draw.mix(plan.seed() * 31L + Draw.mix(asks.size() + 1)));
+                asks.add(new Ask(r.dueNanos(), id, requestClass, tenant, r.key(), r.write(), r.timeoutMs(),
+                        r.costMicros(), r.bodyBytes(), 0, 0));
+            }
+        }
+        return new AskSource() {
+            @Override
+            public int count() {
+                return asks.size();
+            }
+
+            @Override
+            public long dueNanos(int number) {
+                return asks.get(number).dueNanos();
+            }
+
+            @Override
+            public Ask ask(int number) {
+                return asks.get(number);
+            }
+
+            @Override
+            public Ask again(Ask ask, long dueNanos) {
+                return mix.again(ask, dueNanos);
+            }
+        };
+    }
+
+    /**
+     * Writes the whole plan down, as a trace; without the retries, which are the clients' answer to what
+     * happens.
+     */
+    static void record(LoadPlan plan, AskSource source, Path file) throws IOException {
+        try (TraceWriter writer = new TraceWriter(Files.newOutputStream(file), 0)) {
+            for (int i = 0; i < source.count(); i++) {
+                Ask ask = source.ask(i);
+                writer.write(new TraceRecord(ask.dueNanos(), plan.classes().get(ask.requestClass()).name(),
+                        plan.tenants().get(ask.tenant()).name(), ask.key(), ask.write(), ask.timeoutMs(),
+                        ask.costMicros(), ask.bodyBytes()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/burlarch/lab/load/Generator.java
@@ -0,0 +1,125 @@
+package burlarch.lab.load;
+
+import burlarch.audit.Sink;
+import burlarch.standins.net.Transport;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * The open-loop load generator: sends what is due when it is due, on a schedule that was fixed before and
+ * waits for no answer. A run is for one use.
+ */
+public final class Generator implements AutoCloseable {
+    /** From making the workers to the first request. */
+    private static final long HEAD_START_NANOS = 20_000_000;
+
+    /** A proxy, and where clients reach it. */
+    public record Target(String proxy, InetSocketAddress address) {
+    }
+
+    private final LoadPlan plan;
+    private final AskSource source;
+    private final EventLoopGroup group;
+    private final List<Worker> workers = new ArrayList<>();
+    private final List<EventLoop> loops = new ArrayList<>();
+    private final CountDownLatch running;
+    private final long startNanos;
+
+    private Generator(LoadPlan plan, AskSource source, List<Target> targets, Sink sink, LongSupplier clock)
+            throws IOException {
+        this.plan = plan;
+        this.source = source;
+        this.group = Transport.group(plan.threads(), "burlarch-load");
+        this.running = new CountDownLatch(plan.threads());
+        SslContext tls = plan.tls() ? SslContextBuilder.forClient().trustManager(plan.tlsCa().toFile())
+                .build() : null;
+        this.startNanos = clock.getAsLong() + HEAD_START_NANOS;
+        for (int i = 0; i < plan.threads(); i++) {
+            EventLoop loop = group.next();
+            int first = i;
+            loops.add(loop);
+            workers.add(loop.submit(() -> new Worker(plan, source, targets, loop, clock, sink, tls, first,
+                    plan.threads(), startNanos, running::countDown)).syncUninterruptibly().getNow());
+        }
+    }
+
+    /**
+     * Begins to send.
+     *
+     * @throws IOException where the trace or the authority's file can't be read
+     */
+    public static Generator start(LoadPlan plan, List<Target> targets, Sink sink) throws IOException {
+        return start(plan, targets, sink, System::nanoTime);
+    }
+
+    /** @param clock must only advance; a run on one that jumps is found invalid */
+    static Generator start(LoadPlan plan, List<Target> targets, Sink sink, LongSupplier clock)
+            throws IOException {
+        Generator generator = new Generator(plan, AskSource.of(plan), targets, sink, clock);
+        for (int i = 0; i < generator.workers.size(); i++) {
+            generator.loops.get(i).execute(generator.workers.get(i)::pump);
+        }
+        return generator;
+    }
+
+    /** Writes the plan's requests to a trace, without sending any. */
+    public static void record(LoadPlan plan, Path file) throws IOException {
+        AskSource.record(plan, AskSource.of(plan), file);
+    }
+
+    /** How many requests the plan has. */
+    public int planned() {
+        return source.count();
+    }
+
+    /** The clock's time at which the schedule begins. */
+    public long startNanos() {
+        return startNanos;
+    }
+
+    /** For tests that starve the generator. */
+    EventLoop loop(int worker) {
+        return loops.get(worker);
+    }
+
+    /** @return whether it was over within that time */
+    public boolean await(long time, TimeUnit unit) throws InterruptedException {
+        return running.await(time, unit);
+    }
+
+    /** Sends nothing more; what is out is still waited for. */
+    public void stop() {
+        for (int i = 0; i < workers.size(); i++) {
+            loops.get(i).execute(workers.get(i)::stop);
+        }
+    }
+
+    /** What has been counted so far, or at the end. */
+    public LoadResult result() {
+        Tally sum = new Tally(plan.classes().size(), plan.tenants().size());
+        for (int i = 0; i < workers.size(); i++) {
+            Worker worker = workers.get(i);
+            loops.get(i).submit(() -> {
+                synchronized (sum) {
+                    sum.add(worker.tally);
+                }
+            }).syncUninterruptibly();
+        }
+        return new LoadResult(plan, sum, source.count());
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS).awaitUninterruptibly(2000);
+    }
+}
