--- /dev/null
+++ b/cli/src/main/java/burlarch/cli/ExperimentCommand.java
@@ -0,0 +1,60 @@
+package burlarch.cli;
+
+import burlarch.lab.experiment.Experiment;
+import burlarch.lab.experiment.ExperimentPlan;
+import burlarch.lab.experiment.Outcome;
+import burlarch.lab.report.Report;
+import burlarch.settings.SettingsException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "experiment", mixinStandardHelpOptions = true, description = {
+    "Runs a fleet, proxies as real processes and a load, lets happen what the file says,",
+    "and leaves records, figures and a report. The shelf is in experiments/."})
+final class ExperimentCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The experiment, as docs/lab.md says.")
+    private Path file;
+
+    @Option(names = "--out", paramLabel = "FOLDER", required = true, description =
+            "Made, with a folder a repeat in it.")
+    private Path folder;
+
+    @Option(names = "--repeats", paramLabel = "N", defaultValue = "1", description =
+            "1 to 100, 1 without it.")
+    private int repeats;
+
+    @Option(names = "--quiet", description = "Only the end.")
+    private boolean quiet;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException, SettingsException {
+        if (repeats < 1 || repeats > 100) {
+            throw new IllegalArgumentException("--repeats is 1 to 100");
+        }
+        return run(file, folder, repeats, quiet);
+    }
+
+    static int run(Path file, Path folder, int repeats, boolean quiet)
+            throws IOException, InterruptedException, SettingsException {
+        ExperimentPlan plan = ExperimentPlan.read(file);
+        Path jar = Main.proxyJar();
+        if (!plan.proxies().proxyless() && !Files.exists(jar)) {
+            throw new IOException(jar + ": the proxy is not built yet: run 'mvn -q -DskipTests package'");
+        }
+        int status = 0;
+        for (int i = 1; i <= repeats; i++) {
+            Path run = repeats == 1 ? folder : folder.resolve("run-" + i);
+            Outcome outcome = Experiment.run(plan, run, jar, quiet ? line -> { } : System.err::println);
+            Report.write(outcome, run);
+            System.out.print(Report.text(outcome));
+            System.out.println("  report " + run.resolve("report.html"));
+            status = Math.max(status, outcome.status());
+        }
+        return status;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/burlarch/cli/TraceCommand.java
@@ -0,0 +1,96 @@
+package burlarch.cli;
+
+import burlarch.lab.load.Generator;
+import burlarch.lab.load.LoadPlan;
+import burlarch.settings.OperatorFile;
+import burlarch.settings.SettingsException;
+import burlarch.standins.fleet.FleetPlan;
+import burlarch.trace.TraceReader;
+import burlarch.trace.TraceRecord;
+import burlarch.trace.Traces;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "trace", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+        description = "Makes, shows and changes traces; 'load' replays them (docs/trace-format.md).")
+final class TraceCommand {
+    @Command(name = "record", description = "Writes down the requests of a load, without sending any.")
+    int record(@Parameters(paramLabel = "FILE", description =
+            "The load, as 'burlarch load' takes it.") Path file,
+            @Parameters(paramLabel = "TRACE") Path trace) throws IOException, SettingsException {
+        OperatorFile settings = OperatorFile.load(file);
+        Generator.record(LoadPlan.read(settings, FleetPlan.read(settings)), trace);
+        return show(trace, 0);
+    }
+
+    @Command(name = "show", description = "Says what a trace holds.")
+    int show(@Parameters(paramLabel = "TRACE") Path trace,
+            @Option(names = "--first", paramLabel = "N", defaultValue = "0",
+                    description = "The first records too.") int first) throws IOException {
+        Traces.Summary s = Traces.summary(trace);
+        System.out.printf(Locale.ROOT, "%s: %d requests in %.3f s, %d of them writes, %d keys, "
+                + "at most %d in a "
+                + "second%n", trace, s.records(), s.spanNanos() / 1e9, s.writes(), s.keys(),
+                s.busiestSecond());
+        s.byClass().forEach((name, count) -> System.out.println("  class " + name + " " + count));
+        s.byTenant().forEach((name, count) -> System.out.println("  tenant " + name + " " + count));
+        try (TraceReader reader = new TraceReader(trace)) {
+            for (int i = 0; i < first; i++) {
+                TraceRecord r = reader.next();
+                if (r == null) {
+                    break;
+                }
+                System.out.printf(Locale.ROOT, "%12.6f s  %s %s %s %s %d ms%n", r.dueNanos() / 1e9,
+                        r.write() ? "PUT" : "GET", r.requestClass(), r.tenant(), r.key(), r.timeoutMs());
+            }
+        }
+        return 0;
+    }
+
+    @Command(name = "cut", description = "Keeps what is due from one time to before another.")
+    int cut(@Parameters(paramLabel = "FROM") Path from, @Parameters(paramLabel = "TO") Path to,
+            @Option(names = "--from", paramLabel = "SECONDS", defaultValue = "0") double fromS,
+            @Option(names = "--until", paramLabel = "SECONDS", required = true) double untilS)
+            throws IOException {
+        distinct(to, List.of(from));
+        System.out.println(Traces.cut(from, to, (long) (fromS * 1e9), (long) (untilS * 1e9)) + " requests");
+        return 0;
+    }
+
+    @Command(name = "scale", description = "Stretches the time, or takes each request so many times.")
+    int scale(@Parameters(paramLabel = "FROM") Path from, @Parameters(paramLabel = "TO") Path to,
+            @Option(names = "--time", paramLabel = "TIMES", defaultValue = "1") double time,
+            @Option(names = "--rate", paramLabel = "TIMES", defaultValue = "1") double rate)
+                    throws IOException {
+        if (!(time > 0 && time <= 1000 && rate > 0 && rate <= 1000)) {
+            throw new IllegalArgumentException("--time and --rate are over 0 and 1000 at most");
+        }
+        distinct(to, List.of(from));
+        System.out.println(Traces.scale(from, to, time, rate) + " requests");
+        return 0;
+    }
+
+    @Command(name = "merge", description = "Puts traces on top of each other, each from its own start.")
+    int merge(@Parameters(paramLabel = "TO", index = "0") Path to,
+            @Parameters(paramLabel = "FROM", index = "1..*", arity = "1..*") List<Path> from)
+            throws IOException {
+        distinct(to, from);
+        System.out.println(Traces.merge(from, to) + " requests");
+        return 0;
+    }
+
+    /** Writing over what is being read would lose it. */
+    private static void distinct(Path to, List<Path> from) {
+        for (Path one : from) {
+            if (one.toAbsolutePath().normalize().equals(to.toAbsolutePath().normalize())) {
+                throw new IllegalArgumentException(to
+                        + " is read and can't be written over: name another file");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/burlarch/lab/experiment/Experiment.java
@@ -0,0 +1,285 @@
+package burlarch.lab.experiment;
+
+import burlarch.audit.Attempt;
+import burlarch.audit.Audit;
+import burlarch.audit.FileSink;
+import burlarch.audit.Ran;
+import burlarch.audit.RecordFile;
+import burlarch.audit.Records;
+import burlarch.audit.Rules;
+import burlarch.audit.Verdict;
+import burlarch.lab.load.Generator;
+import burlarch.lab.load.LoadResult;
+import burlarch.standins.fleet.Fleet;
+import burlarch.standins.fleet.FleetPlan;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Runs a plan once: the fleet in this process, each proxy as a process of its own, the load on threads of its
+ * own. Whatever ends it, what it started ends too.
+ */
+public final class Experiment {
+    /** From the last answer that may come to giving the run up. */
+    private static final long PATIENCE_S = 30;
+    private static final long DRAIN_MS = 5000;
+
+    private final ExperimentPlan plan;
+    private final Path folder;
+    private final Path jar;
+    private final Consumer<String> progress;
+    private final List<Outcome.Mark> marks = Collections.synchronizedList(new ArrayList<>());
+    private final Map<String, ProxyProcess> proxies = new LinkedHashMap<>();
+    /** Processes that were ended before the load was over, each with its span. */
+    private final List<Ran> ended = Collections.synchronizedList(new ArrayList<>());
+    private volatile long loadStartNanos;
+
+    private Experiment(ExperimentPlan plan, Path folder, Path jar, Consumer<String> progress) {
+        this.plan = plan;
+        this.folder = folder;
+        this.jar = jar;
+        this.progress = progress;
+    }
+
+    /**
+     * @param folder   is made, and gets the raw records, logs, configurations, figures and the report
+     * @param jar      the proxy's
+     * @param progress a line now and then
+     * @throws IOException where it could not be run; nothing is left running
+     */
+    public static Outcome run(ExperimentPlan plan, Path folder, Path jar, Consumer<String> progress)
+            throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        if (Files.exists(plan.file())) {
+            Files.copy(plan.file(), folder.resolve("experiment.toml"), StandardCopyOption.REPLACE_EXISTING);
+        }
+        return new Experiment(plan, folder, jar, progress).run();
+    }
+
+    private Outcome run() throws IOException, InterruptedException {
+        Thread onExit = new Thread(() -> proxies.values().forEach(ProxyProcess::destroy), "burlarch-cleanup");
+        Runtime.getRuntime().addShutdownHook(onExit);
+        Path recordFile = folder.resolve("records.tsv");
+        LoadResult result;
+        Map<String, List<Samples.Sample>> usage;
+        Map<String, Double> fleetFigures = new LinkedHashMap<>();
+        try (FileSink sink = new FileSink(recordFile)) {
+            try (Fleet fleet = Fleet.start(plan.fleet(), sink)) {
+                fleet.onFault(text -> mark(text));
+                startProxies(fleet);
+                List<Generator.Target> targets = targets(fleet);
+                try (Generator generator = Generator.start(plan.load(), targets, sink)) {
+                    loadStartNanos = generator.startNanos();
+                    fleet.runScript();
+                    try (Samples samples = new Samples(List.copyOf(proxies.values()), loadStartNanos);
+                            Timeline timeline = new Timeline()) {
+                        timeline.start();
+                        follow(generator);
+                        usage = samples.all();
+                    }
+                    result = generator.result();
+                    result.writeHistogramLog(folder.resolve("latency.hlog"));
+                }
+                stopProxies();
+                fleetFigures.put("writes", (double) fleet.writes());
+                fleetFigures.put("falls", fleet.state().stream()
+                        .mapToDouble(state -> ((Number) state.get("falls")).doubleValue()).sum());
+            } finally {
+                proxies.values().forEach(ProxyProcess::destroy);
+            }
+            ended.forEach(sink::ran);
+        } finally {
+            Runtime.getRuntime().removeShutdownHook(onExit);
+        }
+        return judge(RecordFile.read(List.of(recordFile)), result, usage, fleetFigures);
+    }
+
+    private void mark(String text) {
+        double s = loadStartNanos == 0 ? 0 : (System.nanoTime() - loadStartNanos) / 1e9;
+        marks.add(new Outcome.Mark(s, text));
+        progress.accept(String.format(java.util.Locale.ROOT, "%6.1f s  %s", s, text));
+    }
+
+    private void startProxies(Fleet fleet) throws IOException, InterruptedException {
+        if (plan.proxies().proxyless()) {
+            return;
+        }
+        String host = plan.fleet().host();
+        long seed = plan.fleet().seed();
+        for (FleetPlan.Vantage vantage : plan.fleet().vantages()) {
+            int port = ProxyProcess.freePort(host);
+            Path config = folder.resolve(vantage.name() + ".json");
+            Files.writeString(config, ProxySettings.config(plan, vantage.name(), host + ":" + port,
+                    fleet.discovery(vantage.name()), fleet.known(vantage.name()), ++seed));
+            ProxyProcess proxy = new ProxyProcess(vantage.name(),
+                    new InetSocketAddress(InetAddress.getByName(host), port),
+                    ProxyProcess.command(jar, plan.proxies()), config, folder.resolve(vantage.name()
+                    + ".log"));
+            proxies.put(vantage.name(), proxy);
+            proxy.start();
+        }
+        for (ProxyProcess proxy : proxies.values()) {
+            proxy.awaitReady();
+            progress.accept(String.format(java.util.Locale.ROOT, "         %s is ready after %.2f s",
+                    proxy.name,
+                    (System.nanoTime() - proxy.startedNanos()) / 1e9));
+        }
+    }
+
+    /** Without proxies, clients ask the first node directly: what a proxy adds is the difference. */
+    private List<Generator.Target> targets(Fleet fleet) {
+        if (plan.proxies().proxyless()) {
+            String vantage = plan.fleet().vantages().get(0).name();
+            return List.of(new Generator.Target(vantage, fleet.node(plan.fleet().nodes().get(0).id(),
+                    vantage)));
+        }
+        return proxies.values().stream().map(proxy -> new Generator.Target(proxy.name, proxy.address))
+                .toList();
+    }
+
+    private void follow(Generator generator) throws InterruptedException {
+        long longestMs = plan.fleet().classes().stream().mapToLong(kind -> kind.deadlineNanos() / 1_000_000)
+                .max()
+                .orElse(0);
+        double untilS = plan.load().seconds() + 2 * longestMs / 1e3 + plan.load().graceMs() / 1e3
+                + PATIENCE_S;
+        long untilNanos = loadStartNanos + (long) (untilS * 1e9);
+        while (!generator.await(1, TimeUnit.SECONDS)) {
+            progress.accept(String.format(java.util.Locale.ROOT, "%6.1f s  %s",
+                    (System.nanoTime() - loadStartNanos) / 1e9, generator.result().line()));
+            if (System.nanoTime() > untilNanos) {
+                generator.stop();
+                if (!generator.await(longestMs + (long) plan.load().graceMs() + 1000,
+                        TimeUnit.MILLISECONDS)) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void stopProxies() throws IOException, InterruptedException {
+        for (ProxyProcess proxy : proxies.values()) {
+            proxy.signal("CONT");
+            proxy.signal("TERM");
+        }
+        for (ProxyProcess proxy : proxies.values()) {
+            if (!proxy.await(DRAIN_MS)) {
+                mark(proxy.name + " did not end within " + DRAIN_MS / 1000 + " s of SIGTERM");
+            }
+        }
+    }
+
+    /** What befalls the proxies, each at its time. */
+    private final class Timeline implements AutoCloseable {
+        private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread made = new Thread(task, "burlarch-timeline");
+            made.setDaemon(true);
+            return made;
+        });
+
+        void start() {
+            for (ExperimentPlan.ProxyEvent event : plan.events()) {
+                long atNanos = loadStartNanos + (long) (event.s() * 1e9) - System.nanoTime();
+                thread.schedule(() -> carryOut(event), atNanos, TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void carryOut(ExperimentPlan.ProxyEvent event) {
+            ProxyProcess proxy = proxies.get(event.proxy());
+            if (proxy == null) {
+                return;
+            }
+            try {
+                switch (event.action()) {
+                    case KILL -> end(proxy, "KILL");
+                    case TERM -> proxy.signal("TERM");
+                    case PAUSE -> proxy.signal("STOP");
+                    case RESUME -> proxy.signal("CONT");
+                    case START -> {
+                        if (proxy.isAlive()) {
+                            // It was asked to end, and has had its time.
+                            end(proxy, "KILL");
+                        }
+                        proxy.start();
+                    }
+                }
+                mark(event.toString());
+            } catch (IOException e) {
+                mark(event + " failed: " + e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        private void end(ProxyProcess proxy, String signal) throws IOException, InterruptedException {
+            long startedNanos = proxy.startedNanos();
+            proxy.signal(signal);
+            proxy.await(DRAIN_MS);
+            ended.add(new Ran(proxy.name, startedNanos, System.nanoTime()));
+        }
+
+        @Override
+        public void close() {
+            thread.shutdownNow();
+        }
+    }
+
+    // ---- judging
+
+    private Outcome judge(Records records, LoadResult load, Map<String, List<Samples.Sample>> usage,
+            Map<String, Double> fleetFigures) throws IOException {
+        Verdict verdict = Audit.of(records, Rules.standard(plan.fleet().repeats()));
+        Map<String, Double> figures = new LinkedHashMap<>(load.figures());
+        figures.put("breaches", verdict.counts().values().stream().mapToDouble(Integer::doubleValue).sum());
+        figures.put("attempts", verdict.attempts() / Math.max(1.0, verdict.requests()));
+        figures.put("give_up_p50_ms", verdict.giveUpPercentile(50) / 1e6);
+        figures.put("give_up_p99_ms", verdict.giveUpPercentile(99) / 1e6);
+        double cpuS = 0;
+        double rssMb = 0;
+        for (List<Samples.Sample> of : usage.values()) {
+            for (int i = 1; i < of.size(); i++) {
+                cpuS += of.get(i).cpuShare() * (of.get(i).s() - of.get(i - 1).s());
+            }
+            rssMb = Math.max(rssMb, of.stream().mapToDouble(Samples.Sample::rssMb).max().orElse(0));
+        }
+        figures.put("proxy_cpu_ms_per_request", 1000 * cpuS / Math.max(1, load.ended()));
+        figures.put("proxy_rss_mb_most", rssMb);
+        figures.putAll(fleetFigures);
+        List<Bar.Judged> bars = new ArrayList<>();
+        for (Bar bar : plan.bars()) {
+            try {
+                bars.add(bar.judge(figures));
+            } catch (IllegalArgumentException e) {
+                throw new IOException(plan.file() + ": experiment.bars: " + e.getMessage(), e);
+            }
+        }
+        return new Outcome(plan, load, verdict, Map.copyOf(figures), bars, List.copyOf(marks), usage,
+                nodeLoad(records));
+    }
+
+    private Map<String, int[]> nodeLoad(Records records) {
+        int seconds = (int) Math.ceil(plan.load().seconds()) + 1;
+        Map<String, int[]> loads = new LinkedHashMap<>();
+        plan.fleet().nodes().forEach(node -> loads.put(node.id(), new int[seconds]));
+        for (Attempt attempt : records.attempts()) {
+            int at = (int) ((attempt.firstByteNanos() - loadStartNanos) / 1_000_000_000L);
+            if (at >= 0 && at < seconds) {
+                loads.get(attempt.node())[at]++;
+            }
+        }
+        return loads;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/burlarch/lab/experiment/ExperimentPlan.java
@@ -0,0 +1,91 @@
+package burlarch.lab.experiment;
+
+import burlarch.lab.load.LoadPlan;
+import burlarch.settings.OperatorFile;
+import burlarch.settings.Section;
+import burlarch.settings.SettingsException;
+import burlarch.standins.fleet.FleetPlan;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** One file: a fleet with its faults, proxies with their limits and what befalls them, a load, and bars. */
+public record ExperimentPlan(String name, String about, Path file, FleetPlan fleet, LoadPlan load,
+        Proxies proxies, List<ProxyEvent> events, List<Bar> bars) {
+    /**
+     * How the proxies are run.
+     *
+     * @param arguments behind {@code serve}
+     * @param pin       the cores that each may use, in the form of taskset's list; empty for any
+     */
+    public record Proxies(int heapMb, int sockets, int attemptsMost, List<String> arguments, String pin,
+            boolean proxyless) {
+    }
+
+    /** What happens to a proxy's process, and when. */
+    public record ProxyEvent(double s, Action action, String proxy) {
+        /** What can be done to a process. */
+        public enum Action { KILL, TERM, PAUSE, RESUME, START }
+
+        @Override
+        public String toString() {
+            return action.name().toLowerCase(java.util.Locale.ROOT) + " " + proxy;
+        }
+    }
+
+    /** @throws SettingsException naming file and key */
+    public static ExperimentPlan read(Path path) throws SettingsException {
+        return read(OperatorFile.load(path), path);
+    }
+
+    static ExperimentPlan read(OperatorFile file, Path path) throws SettingsException {
+        Section experiment = file.section("experiment");
+        FleetPlan fleet = FleetPlan.read(file);
+        LoadPlan load = LoadPlan.read(file, fleet);
+        Section proxies = file.section("proxies");
+        List<ProxyEvent> events = new ArrayList<>();
+        for (Section entry : file.sections("proxy_at")) {
+            events.addAll(events(entry, fleet));
+        }
+        events.sort(Comparator.comparingDouble(ProxyEvent::s));
+        List<Bar> bars = new ArrayList<>();
+        for (String text : experiment.texts("bars")) {
+            try {
+                bars.add(Bar.parse(text));
+            } catch (IllegalArgumentException e) {
+                throw experiment.wrong("bars", e.getMessage());
+            }
+        }
+        ExperimentPlan plan = new ExperimentPlan(experiment.text("name", path.getFileName().toString()),
+                experiment.text("about", "-"), path, fleet, load,
+                new Proxies(proxies.whole("heap_mb", 48, 16, 65_536),
+                        proxies.whole("sockets", 1024, 256, 1_000_000),
+                        proxies.whole("attempts_most", 5, 1, 5), proxies.texts("arguments"),
+                        proxies.has("pin") ? proxies.text("pin", "") : "", proxies.flag("none", false)),
+                events, bars);
+        file.refuseUnread();
+        return plan;
+    }
+
+    private static List<ProxyEvent> events(Section entry, FleetPlan fleet) throws SettingsException {
+        double s = entry.need("s", "do", "proxy").number("s", 0, 0, 86_400);
+        String word = entry.text("do", "", List.of("kill", "term", "pause", "restart"));
+        String proxy = entry.text("proxy", "");
+        double forS = entry.number("for_s", 1, 0, 86_400);
+        if (fleet.vantages().stream().noneMatch(vantage -> vantage.name().equals(proxy))) {
+            throw entry.wrong("proxy", "is no [[proxy]] of this file: " + proxy);
+        }
+        return switch (word) {
+            case "term" -> List.of(new ProxyEvent(s, ProxyEvent.Action.TERM, proxy));
+            case "pause" -> List.of(new ProxyEvent(s, ProxyEvent.Action.PAUSE, proxy),
+                    new ProxyEvent(s + forS, ProxyEvent.Action.RESUME, proxy));
+            case "restart" -> List.of(new ProxyEvent(s, ProxyEvent.Action.TERM, proxy),
+                    new ProxyEvent(s + Math.max(forS, 0.1), ProxyEvent.Action.START, proxy));
+            default -> entry.has("for_s")
+                    ? List.of(new ProxyEvent(s, ProxyEvent.Action.KILL, proxy),
+                            new ProxyEvent(s + forS, ProxyEvent.Action.START, proxy))
+                    : List.of(new ProxyEvent(s, ProxyEvent.Action.KILL, proxy));
+        };
+    }
+}
--- a/lab/src/main/java/burlarch/lab/load/Worker.java
+++ b/lab/src/main/java/burlarch/lab/load/Worker.java
@@ -168,8 +168,8 @@
     }
 
     /**
-     * Not by {@code execute}, even where it is due now: the loop runs what is executed until nothing is left, and
-     * looks at its sockets only then. There is one such timer that counts, however many are on their way.
+     * Not by {@code execute}, even where it is due now: the loop runs what is executed until nothing is left,
+     * and looks at its sockets only then. There is one such timer that counts, however many are on their way.
      */
     private void pumpIn(long nanos) {
         int number = ++pumps;
