--- a/cli/src/main/java/burlarch/cli/LoadCommand.java
+++ b/cli/src/main/java/burlarch/cli/LoadCommand.java
@@ -45,6 +45,7 @@
     public Integer call() throws Exception {
         OperatorFile settings = OperatorFile.load(file);
         LoadPlan plan = LoadPlan.read(settings, FleetPlan.read(settings));
+        Generator.warmUp(plan);
         FileSink sink = records == null ? null : new FileSink(records);
         LoadResult result;
         try (Generator generator = Generator.start(plan, addresses(), sink == null ? Sink.NONE : sink)) {
--- a/lab/src/main/java/burlarch/lab/load/Generator.java
+++ b/lab/src/main/java/burlarch/lab/load/Generator.java
@@ -22,6 +22,7 @@
 public final class Generator implements AutoCloseable {
     /** From making the workers to the first request. */
     private static final long HEAD_START_NANOS = 20_000_000;
+    private static final long WARM_UP_PATIENCE_S = 20;
 
     /** A proxy, and where clients reach it. */
     public record Target(String proxy, InetSocketAddress address) {
@@ -72,6 +73,23 @@
         return generator;
     }
 
+    /**
+     * Runs a short load of the same kind against a server that answers at once, so that the first second of
+     * the real one does not measure how this program is loaded and compiled. Returns when it is over.
+     */
+    public static void warmUp(LoadPlan plan) throws IOException, InterruptedException {
+        if (plan.warmUpSeconds() <= 0) {
+            return;
+        }
+        LoadPlan warm = plan.forWarmUp();
+        try (NullServer server = new NullServer(1);
+                Generator generator = start(warm, List.of(new Target("warm-up", server.address())),
+                        Sink.NONE)) {
+            generator.await((long) plan.warmUpSeconds() + WARM_UP_PATIENCE_S, TimeUnit.SECONDS);
+            generator.result().figures();
+        }
+    }
+
     /** Writes the plan's requests to a trace, without sending any. */
     public static void record(LoadPlan plan, Path file) throws IOException {
         AskSource.record(plan, AskSource.of(plan), file);
