--- a/lab/src/main/java/burlarch/lab/experiment/ExperimentPlan.java
+++ b/lab/src/main/java/burlarch/lab/experiment/ExperimentPlan.java
@@ -36,7 +36,7 @@
 
     /** @throws SettingsException naming file and key */
     public static ExperimentPlan read(Path path) throws SettingsException {
-        return read(OperatorFile.load(path), path);
+        return read(OperatorFile.loadWithBase(path), path);
     }
 
     static ExperimentPlan read(OperatorFile file, Path path) throws SettingsException {
--- a/settings/src/main/java/burlarch/settings/OperatorFile.java
+++ b/settings/src/main/java/burlarch/settings/OperatorFile.java
@@ -1,5 +1,6 @@
 package burlarch.settings;
 
+import com.electronwill.nightconfig.core.Config;
 import com.electronwill.nightconfig.core.UnmodifiableConfig;
 import com.electronwill.nightconfig.core.io.ParsingException;
 import com.electronwill.nightconfig.toml.TomlParser;
@@ -11,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -47,6 +49,40 @@
         }
     }
 
+    /**
+     * Reads a file that may stand on another, which its first key names: {@code base = "other.toml"}, beside
+     * it. A table of its own adds to the base's and goes before it, key by key; a list of tables takes the
+     * base's place.
+     */
+    public static OperatorFile loadWithBase(Path file) throws SettingsException {
+        OperatorFile own = load(file);
+        Object base = own.values.get("base");
+        if (base == null) {
+            return own;
+        }
+        if (!(base instanceof String text) || text.isBlank()) {
+            throw own.wrong("base", "must be the name of a file beside this one");
+        }
+        OperatorFile under = load(file.resolveSibling(text));
+        if (under.values.containsKey("base")) {
+            throw under.wrong("base", "has no place in a file that is a base itself");
+        }
+        Map<String, Object> merged = new LinkedHashMap<>(under.values);
+        for (Map.Entry<String, Object> entry : own.values.entrySet()) {
+            Object before = merged.get(entry.getKey());
+            if (before instanceof UnmodifiableConfig lower && entry.getValue() instanceof Config upper) {
+                Config both = Config.inMemory();
+                both.putAll(lower);
+                both.putAll(upper);
+                merged.put(entry.getKey(), both);
+            } else {
+                merged.put(entry.getKey(), entry.getValue());
+            }
+        }
+        merged.remove("base");
+        return new OperatorFile(own.name, merged);
+    }
+
     /** @param name of the file, for messages */
     public static OperatorFile parse(String name, String text) throws SettingsException {
         try {
--- a/settings/src/test/java/burlarch/settings/OperatorFileTest.java
+++ b/settings/src/test/java/burlarch/settings/OperatorFileTest.java
@@ -93,4 +93,22 @@
             assertTrue(message.startsWith(file + ": "), message);
         }
     }
+
+    @Test
+    void aFileStandsOnItsBaseAndGoesBeforeIt() throws Exception {
+        Files.writeString(folder.resolve("base.toml"),
+                "[part]\ncount = 5\nspan = 1.5\n[[more]]\nname = \"a\"\n");
+        Path own = Files.writeString(folder.resolve("own.toml"),
+                "base = \"base.toml\"\n[part]\ncount = 7\n[[more]]\nname = \"b\"\n");
+        OperatorFile file = OperatorFile.loadWithBase(own);
+        assertEquals(7, file.section("part").whole("count", 0, 1, 10));
+        assertEquals(1.5, file.section("part").number("span", 0, 0, 5));
+        assertEquals("b", file.sections("more").get(0).text("name", ""));
+        assertEquals(1, file.sections("more").size());
+        Path chain = Files.writeString(folder.resolve("chain.toml"), "base = \"own.toml\"\n");
+        assertThrows(SettingsException.class, () -> OperatorFile.loadWithBase(chain));
+        Path lost = Files.writeString(folder.resolve("lost.toml"), "base = \"nothing.toml\"\n");
+        assertTrue(assertThrows(SettingsException.class, () -> OperatorFile.loadWithBase(lost)).getMessage()
+                .endsWith("no such file"));
+    }
 }
