--- a/proxy/src/main/java/burlarch/proxy/Features.java
+++ b/proxy/src/main/java/burlarch/proxy/Features.java
@@ -4,13 +4,14 @@
 import burlarch.proxy.multiget.MultiGetSettings;
 import burlarch.proxy.status.StatusSettings;
 import burlarch.proxy.tls.TlsSettings;
+import burlarch.proxy.trace.TraceSettings;
 import burlarch.settings.OperatorFile;
 import burlarch.settings.SettingsException;
 import java.nio.file.Path;
 
 /** What the command line and the operator's file switch on; {@code hotList} is null without its flag. */
 public record Features(MultiGetSettings multiGet, HotListSettings hotList,
-        StatusSettings status, TlsSettings tls) {
+        StatusSettings status, TlsSettings tls, TraceSettings trace) {
     /** All that the arguments behind {@code serve} may say. */
     record Arguments(boolean hotList, Path config) {
         /** @return null where they are none of these */
@@ -32,23 +33,27 @@
 
     public static Features none() {
         return new Features(new MultiGetSettings(null, 0), null, new StatusSettings(null, 0),
-                new TlsSettings(null, null, null, "1.2", null, 0));
+                new TlsSettings(null, null, null, "1.2", null, 0), TraceSettings.off());
     }
 
     public Features with(MultiGetSettings other) {
-        return new Features(other, hotList, status, tls);
+        return new Features(other, hotList, status, tls, trace);
     }
 
     public Features with(HotListSettings other) {
-        return new Features(multiGet, other, status, tls);
+        return new Features(multiGet, other, status, tls, trace);
     }
 
     public Features with(StatusSettings other) {
-        return new Features(multiGet, hotList, other, tls);
+        return new Features(multiGet, hotList, other, tls, trace);
     }
 
     public Features with(TlsSettings other) {
-        return new Features(multiGet, hotList, status, other);
+        return new Features(multiGet, hotList, status, other, trace);
+    }
+
+    public Features with(TraceSettings other) {
+        return new Features(multiGet, hotList, status, tls, other);
     }
 
     static Features load(Arguments arguments) throws SettingsException {
@@ -59,7 +64,8 @@
         HotListSettings hotList = HotListSettings.read(file.section("hotlist"));
         StatusSettings status = StatusSettings.read(file.section("status"));
         TlsSettings tls = TlsSettings.read(file.section("tls"));
+        TraceSettings trace = TraceSettings.read(file.section("trace"));
         file.refuseUnread();
-        return new Features(multiGet, arguments.hotList() ? hotList : null, status, tls);
+        return new Features(multiGet, arguments.hotList() ? hotList : null, status, tls, trace);
     }
 }
--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -7,6 +7,7 @@
 import burlarch.proxy.status.StatusBoard;
 import burlarch.proxy.status.StatusPage;
 import burlarch.proxy.tls.TlsPort;
+import burlarch.proxy.trace.TraceRecorder;
 import burlarch.settings.SettingsException;
 import burlarch.wire.Instance;
 import burlarch.wire.Json;
@@ -78,6 +79,9 @@
     private final Features features;
     /** Null where that port is off. */
     private final TlsPort tls;
+    /** Where requests are recorded; null where they are not. */
+    private final TraceRecorder.Sink traceSink;
+    private volatile TraceRecorder trace;
     private RequestTable table;
     private ClientListener clients;
     /** Null where there is none. */
@@ -97,6 +101,7 @@
     ProxyMain(Features features) throws SettingsException {
         this.features = features;
         this.tls = features.tls().listen() == null ? null : TlsPort.load(features.tls());
+        this.traceSink = features.trace().file() == null ? null : TraceRecorder.Sink.create(features.trace());
         if (features.hotList() != null || tls != null) {
             Log.inBackground();
         }
@@ -204,6 +209,9 @@
             hotList = new HotList(features.hotList(), classNames(), clock::nowNanos, loop);
             table.observe(hotList);
         }
+        if (traceSink != null) {
+            record();
+        }
         watch = new MembershipWatch(loop, clock, config.discovery(), table, nodes);
         if (features.status().port() != null) {
             StatusBoard board = new StatusBoard(StatusPage.version(), classNames(), clock::nowNanos,
@@ -233,6 +241,15 @@
         return bound;
     }
 
+    private void record() {
+        try {
+            trace = new TraceRecorder(features.trace(), traceSink, classNames(), clock::nowNanos);
+            table.observe(trace);
+        } catch (IOException e) {
+            Log.line("no trace: " + e.getMessage());
+        }
+    }
+
     /** Before the plain port, as on the loop one bind ends before the next: it is ready with all or none. */
     private void bindSidePorts(InetAddress host, RequestHandler plain,
             io.netty.util.concurrent.Promise<SocketAddress> bound) {
@@ -362,6 +379,9 @@
         try {
             boolean empty = drained.await(KILL_AFTER_MS + LONGEST_DEADLINE_MS, TimeUnit.MILLISECONDS);
             Log.line(empty ? "drained" : "ends with requests in hand");
+            if (trace != null) {
+                trace.close();
+            }
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(200, TimeUnit.MILLISECONDS);
             Log.flush(FLUSH_MS);
         } catch (InterruptedException e) {
--- a/proxy/src/main/java/burlarch/proxy/RequestReader.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestReader.java
@@ -101,7 +101,7 @@
                 key.isEmpty() ? 0 : WireHost.digest(key), deadlineNanos,
                 TimeUnit.MICROSECONDS.toNanos(costMicros), tenant == null ? "" : tenant, key,
                 new UpstreamRequest(method, request.uri(), requestId, idempotencyKey,
-                        ByteBufUtil.getBytes(request.content())));
+                        ByteBufUtil.getBytes(request.content())), (int) timeoutMs);
     }
 
     /** Whether the request's time is over for the module, which ends it a quantum before its deadline. */
--- a/proxy/src/main/java/burlarch/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -32,9 +32,13 @@
         void failed(int status);
     }
 
-    /** What came in, with the module's numbers for its names, and the names of what has no bounded set. */
+    /**
+     * What came in, with the module's numbers for its names, and the names of what has no bounded set.
+     *
+     * @param timeoutMs what its client said that it waits
+     */
     public record Arrival(int requestClass, int tenant, boolean keyed, long key, long deadlineNanos,
-            long workNanos, String tenantName, String keyText, UpstreamRequest upstream) {
+            long workNanos, String tenantName, String keyText, UpstreamRequest upstream, int timeoutMs) {
     }
 
     /** Is told on the loop of what passes through the table, and changes none of it. */
