--- a/cli/src/test/java/burlarch/cli/ExperimentIT.java
+++ b/cli/src/test/java/burlarch/cli/ExperimentIT.java
@@ -117,6 +117,19 @@
         assertTrue(page.contains("kill c-0") && page.contains("<svg"), "events and plots are on the page");
     }
 
+    @Test
+    void aLoadOverTheMultiGetPortIsAuditedLineByLine() throws Exception {
+        Path file = file(2, "");
+        Files.writeString(file, Files.readString(file).replace("\"read\"", "\"account-read\"")
+                .replace("[load]", "[load]\nbatch = 8\nbatch_wait_ms = 40"));
+        Outcome outcome = run(file);
+        assertTrue(outcome.verdict().passed(), outcome.verdict().breaches().toString());
+        assertEquals(outcome.load().planned(), outcome.load().ended());
+        assertTrue(outcome.figures().get("account-read.served") > 0.5, outcome.load().line());
+        // Writes do not go over that port: it takes reads alone, and says so of a PUT.
+        assertEquals(0, outcome.figures().get("pay.served"));
+    }
+
     @Test
     void aProxyThatIsKilledMidRunIsNoBreachAndComesBack() throws Exception {
         Outcome outcome = run(file(4, """
--- a/lab/src/main/java/burlarch/lab/experiment/Experiment.java
+++ b/lab/src/main/java/burlarch/lab/experiment/Experiment.java
@@ -43,6 +43,7 @@
     private final Consumer<String> progress;
     private final List<Outcome.Mark> marks = Collections.synchronizedList(new ArrayList<>());
     private final Map<String, ProxyProcess> proxies = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> clientAddresses = new LinkedHashMap<>();
     /** Processes that were ended before the load was over, each with its span. */
     private final List<Ran> ended = Collections.synchronizedList(new ArrayList<>());
     private volatile long loadStartNanos;
@@ -125,10 +126,20 @@
             Path config = folder.resolve(vantage.name() + ".json");
             Files.writeString(config, ProxySettings.config(plan, vantage.name(), host + ":" + port,
                     fleet.discovery(vantage.name()), fleet.known(vantage.name()), ++seed));
-            ProxyProcess proxy = new ProxyProcess(vantage.name(),
-                    new InetSocketAddress(InetAddress.getByName(host), port),
-                    ProxyProcess.command(jar, plan.proxies()), config, folder.resolve(vantage.name()
-                    + ".log"));
+            List<String> command = ProxyProcess.command(jar, plan.proxies());
+            int clientPort = port;
+            if (plan.proxies().multiGet()) {
+                clientPort = ProxyProcess.freePort(host);
+                Path settings = folder.resolve(vantage.name() + ".toml");
+                Files.writeString(settings, "[multiget]\nlisten = \"" + host + ":" + clientPort
+                        + "\"\nmax_keys = 1024\n");
+                command.addAll(List.of("--config", settings.toString()));
+            }
+            InetAddress address = InetAddress.getByName(host);
+            ProxyProcess proxy = new ProxyProcess(vantage.name(), new InetSocketAddress(address, port),
+                    command,
+                    config, folder.resolve(vantage.name() + ".log"));
+            clientAddresses.put(vantage.name(), new InetSocketAddress(address, clientPort));
             proxies.put(vantage.name(), proxy);
             proxy.start();
         }
@@ -147,7 +158,8 @@
             return List.of(new Generator.Target(vantage, fleet.node(plan.fleet().nodes().get(0).id(),
                     vantage)));
         }
-        return proxies.values().stream().map(proxy -> new Generator.Target(proxy.name, proxy.address))
+        return proxies.values().stream().map(proxy -> new Generator.Target(proxy.name,
+                clientAddresses.get(proxy.name)))
                 .toList();
     }
 
--- a/lab/src/main/java/burlarch/lab/experiment/ExperimentPlan.java
+++ b/lab/src/main/java/burlarch/lab/experiment/ExperimentPlan.java
@@ -17,10 +17,11 @@
      * How the proxies are run.
      *
      * @param arguments behind {@code serve}
+     * @param multiGet  whether they listen for several reads in one request too, and the load goes there
      * @param pin       the cores that each may use, in the form of taskset's list; empty for any
      */
     public record Proxies(int heapMb, int sockets, int attemptsMost, List<String> arguments, String pin,
-            boolean proxyless) {
+            boolean proxyless, boolean multiGet) {
     }
 
     /** What happens to a proxy's process, and when. */
@@ -62,7 +63,8 @@
                 new Proxies(proxies.whole("heap_mb", 48, 16, 65_536),
                         proxies.whole("sockets", 1024, 256, 1_000_000),
                         proxies.whole("attempts_most", 5, 1, 5), proxies.texts("arguments"),
-                        proxies.has("pin") ? proxies.text("pin", "") : "", proxies.flag("none", false)),
+                        proxies.has("pin") ? proxies.text("pin", "") : "", proxies.flag("none", false),
+                        load.batch() > 0),
                 events, bars);
         file.refuseUnread();
         return plan;
--- a/lab/src/test/java/burlarch/lab/load/ScheduleTest.java
+++ b/lab/src/test/java/burlarch/lab/load/ScheduleTest.java
@@ -89,6 +89,18 @@
         }
     }
 
+    @Test
+    void aMultiGetsLinesAreReadUpToTheFirstThatIsCut() {
+        byte[] body = "a 200 5\n12.5\n\nb 504 0\n\nc 200 1\nx\n".getBytes(StandardCharsets.US_ASCII);
+        assertEquals(3, MultiGetAnswer.read(body).size());
+        assertEquals(504, MultiGetAnswer.read(body).get("b").status());
+        assertEquals(burlarch.audit.Digest.of("12.5\n".getBytes(StandardCharsets.US_ASCII)),
+                MultiGetAnswer.read(body).get("a").bodyDigest());
+        for (int cut = 0; cut < body.length; cut++) {
+            assertTrue(MultiGetAnswer.read(Arrays.copyOf(body, cut)).size() < 3, "cut at " + cut);
+        }
+    }
+
     @Test
     void whatIsNoAnswerIsBroken() {
         for (String text : new String[] {"HTTP/1.1 200 OK\r\n\r\n", "nonsense\r\n\r\n",
