--- a/lab/src/main/java/burlarch/lab/load/Generator.java
+++ b/lab/src/main/java/burlarch/lab/load/Generator.java
@@ -22,6 +22,8 @@
 public final class Generator implements AutoCloseable {
     /** From making the workers to the first request. */
     private static final long HEAD_START_NANOS = 20_000_000;
+    /** What each connection that is opened first may take, so that no listener's queue overflows. */
+    static final long OPENING_NANOS = 200_000;
     private static final long WARM_UP_PATIENCE_S = 20;
 
     /** A proxy, and where clients reach it. */
@@ -44,7 +46,7 @@
         this.running = new CountDownLatch(plan.threads());
         SslContext tls = plan.tls() ? SslContextBuilder.forClient().trustManager(plan.tlsCa().toFile())
                 .build() : null;
-        this.startNanos = clock.getAsLong() + HEAD_START_NANOS;
+        this.startNanos = clock.getAsLong() + HEAD_START_NANOS + plan.openFirst() * OPENING_NANOS;
         for (int i = 0; i < plan.threads(); i++) {
             EventLoop loop = group.next();
             int first = i;
@@ -68,6 +70,7 @@
             throws IOException {
         Generator generator = new Generator(plan, AskSource.of(plan), targets, sink, clock);
         for (int i = 0; i < generator.workers.size(); i++) {
+            generator.loops.get(i).execute(generator.workers.get(i)::openFirst);
             generator.loops.get(i).execute(generator.workers.get(i)::pump);
         }
         return generator;
--- a/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
@@ -95,6 +95,40 @@
         }
     }
 
+    @Test
+    void connectionsThatAreOpenedFirstStandOpenAllTheTime() throws Exception {
+        LoadPlan plan = plan("[load]\narrivals = \"even\"\nseconds = 0.2\n"
+                + "connections = 100\nopen_first = 60\n"
+                + "lag_p99_ms_most = 1000\n[[shape]]\nkind = \"constant\"\nrate = 50");
+        try (ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"))) {
+            java.util.concurrent.atomic.AtomicInteger accepted =
+                    new java.util.concurrent.atomic.AtomicInteger();
+            List<Socket> held = new java.util.concurrent.CopyOnWriteArrayList<>();
+            Thread accepts = new Thread(() -> {
+                while (!server.isClosed()) {
+                    try {
+                        held.add(server.accept());
+                        accepted.incrementAndGet();
+                    } catch (IOException e) {
+                        return;
+                    }
+                }
+            });
+            accepts.start();
+            Generator generator = start(plan, (InetSocketAddress) server.getLocalSocketAddress(), Sink.NONE);
+            while (accepted.get() < 60) {
+                Thread.sleep(1);
+            }
+            for (Socket socket : held) {
+                socket.close();
+            }
+            generator.stop();
+            generator.close();
+            server.close();
+            accepts.join();
+        }
+    }
+
     @Test
     void aServerThatDiesMidRunLeavesNothingUncounted() throws Exception {
         LoadPlan plan = even(500, 1.5, 50);
