--- a/standins/src/test/java/burlarch/standins/fleet/FleetTest.java
+++ b/standins/src/test/java/burlarch/standins/fleet/FleetTest.java
@@ -261,6 +261,32 @@
         assertTrue(client.send(call, HttpResponse.BodyHandlers.ofString()).body().contains("\"ledger\""));
     }
 
+    @Test
+    void theControlPortLetsFaultsHappenBetweenTwoRequests() throws Exception {
+        start("");
+        try (Control control = Control.start(fleet, "127.0.0.1", 0)) {
+            assertEquals(404, send("c-0", "GET", "/read/k1").statusCode());
+            assertEquals("200 done", post(control, "do = \"drain\"\nnode = \"c-0\""));
+            assertEquals(503, send("c-0", "GET", "/read/k1").statusCode());
+            assertTrue(post(control, "do = \"drain\"\nnode = \"c-7\"").startsWith("400 fault: at.node "));
+            assertTrue(post(control, "do = \"drain\"\nnode = \"c-1\"\nnow = true").contains("at.now"));
+            assertTrue(post(control, "do = ").startsWith("400 fault: not TOML"));
+            String state = client.send(HttpRequest.newBuilder(
+                    URI.create("http://127.0.0.1:" + control.port() + "/state")).build(),
+                    HttpResponse.BodyHandlers.ofString()).body();
+            assertEquals(3, state.lines().count());
+            assertTrue(state.contains("id=c-0 zone=a mode=UP+DRAINING"), state);
+        }
+    }
+
+    private String post(Control control, String fault) throws Exception {
+        HttpResponse<String> answer = client.send(HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + control.port() + "/faults"))
+                .POST(HttpRequest.BodyPublishers.ofString(fault)).build(),
+                HttpResponse.BodyHandlers.ofString());
+        return answer.statusCode() + " " + answer.body().strip();
+    }
+
     @Test
     void aPortThatIsTakenIsNamedAndNothingIsLeftRunning() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
