--- a/lab/src/main/java/burlarch/lab/experiment/Experiment.java
+++ b/lab/src/main/java/burlarch/lab/experiment/Experiment.java
@@ -47,6 +47,8 @@
     /** Processes that were ended before the load was over, each with its span. */
     private final List<Ran> ended = Collections.synchronizedList(new ArrayList<>());
     private volatile long loadStartNanos;
+    /** Null where the proxies may use what there is. */
+    private CpuCap cap;
 
     private Experiment(ExperimentPlan plan, Path folder, Path jar, Consumer<String> progress) {
         this.plan = plan;
@@ -81,6 +83,7 @@
         try (FileSink sink = new FileSink(recordFile)) {
             try (Fleet fleet = Fleet.start(plan.fleet(), sink)) {
                 fleet.onFault(text -> mark(text));
+                cap = plan.proxies().cores() > 0 ? new CpuCap(plan.proxies().cores()) : null;
                 startProxies(fleet);
                 List<Generator.Target> targets = targets(fleet);
                 try (Generator generator = Generator.start(plan.load(), targets, sink)) {
@@ -100,6 +103,9 @@
                 fleetFigures.put("falls", fleet.state().stream()
                         .mapToDouble(state -> ((Number) state.get("falls")).doubleValue()).sum());
             } finally {
+                if (cap != null) {
+                    cap.close();
+                }
                 proxies.values().forEach(ProxyProcess::destroy);
             }
             ended.forEach(sink::ran);
@@ -141,7 +147,7 @@
                     config, folder.resolve(vantage.name() + ".log"));
             clientAddresses.put(vantage.name(), new InetSocketAddress(address, clientPort));
             proxies.put(vantage.name(), proxy);
-            proxy.start();
+            start(proxy);
         }
         for (ProxyProcess proxy : proxies.values()) {
             proxy.awaitReady();
@@ -151,6 +157,13 @@
         }
     }
 
+    private void start(ProxyProcess proxy) throws IOException {
+        proxy.start();
+        if (cap != null) {
+            cap.hold(proxy.pid());
+        }
+    }
+
     /** Without proxies, clients ask the first node directly: what a proxy adds is the difference. */
     private List<Generator.Target> targets(Fleet fleet) {
         if (plan.proxies().proxyless()) {
@@ -184,6 +197,11 @@
     }
 
     private void stopProxies() throws IOException, InterruptedException {
+        if (cap != null) {
+            // An end that takes its time is not what the load was to show.
+            cap.close();
+            cap = null;
+        }
         for (ProxyProcess proxy : proxies.values()) {
             proxy.signal("CONT");
             proxy.signal("TERM");
@@ -226,7 +244,7 @@
                             // It was asked to end, and has had its time.
                             end(proxy, "KILL");
                         }
-                        proxy.start();
+                        Experiment.this.start(proxy);
                     }
                 }
                 mark(event.toString());
