--- a/lab/src/main/java/burlarch/lab/load/NullServer.java
+++ b/lab/src/main/java/burlarch/lab/load/NullServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Future;
@@ -31,12 +32,20 @@
     }
 
     public NullServer(int threads, int port) {
+        this(threads, port, null);
+    }
+
+    /** @param tls null for plain connections */
+    NullServer(int threads, int port, SslContext tls) {
         group = Transport.group(threads, "burlarch-null");
         listener = new ServerBootstrap().group(group).channel(Transport.server())
                 .option(ChannelOption.SO_BACKLOG, 4096).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        if (tls != null) {
+                            channel.pipeline().addLast(tls.newHandler(channel.alloc()));
+                        }
                         channel.pipeline().addLast(new Answering());
                     }
                 }).bind("127.0.0.1", port).syncUninterruptibly().channel();
--- a/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
@@ -12,6 +12,10 @@
 import burlarch.settings.SettingsException;
 import burlarch.standins.fleet.FleetPlan;
 import burlarch.trace.TraceException;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -129,6 +133,28 @@
         }
     }
 
+    @Test
+    void aTlsPortIsLoadedAndOneOfAnotherAuthorityIsNot() throws Exception {
+        X509Bundle server = certificate();
+        Path trusted = Files.writeString(folder.resolve("ca.pem"), server.getCertificatePathPEM());
+        Path other = Files.writeString(folder.resolve("other.pem"), certificate().getCertificatePathPEM());
+        SslContext tls = SslContextBuilder.forServer(server.getKeyPair().getPrivate(),
+                server.getCertificatePath()).build();
+        try (NullServer listens = new NullServer(1, 0, tls)) {
+            String load = "[load]\narrivals = \"even\"\nseconds = 0.5\nlag_p99_ms_most = 1000\n"
+                    + "[[shape]]\nkind = \"constant\"\nrate = 100\n[client_tls]\non = true\nca_file = \"";
+            LoadResult result = end(start(plan(load + trusted + "\""), listens.address(), Sink.NONE));
+            assertEquals(50, result.served(), result.line());
+            LoadResult refused = end(start(plan(load + other + "\""), listens.address(), Sink.NONE));
+            assertEquals(50, refused.unsent(), refused.line());
+        }
+    }
+
+    private static X509Bundle certificate() throws Exception {
+        return new CertificateBuilder().subject("CN=localhost").setIsCertificateAuthority(true)
+                .addSanIpAddress("127.0.0.1").buildSelfSigned();
+    }
+
     @Test
     void aServerThatDiesMidRunLeavesNothingUncounted() throws Exception {
         LoadPlan plan = even(500, 1.5, 50);
