--- a/lab/src/main/java/burlarch/lab/experiment/ProxyProcess.java
+++ b/lab/src/main/java/burlarch/lab/experiment/ProxyProcess.java
@@ -71,6 +71,7 @@
         if (Files.exists(archive)) {
             command.addAll(List.of("-Xshare:auto", "-XX:SharedArchiveFile=" + archive));
         }
+        command.addAll(limits.jvm());
         command.addAll(List.of("-jar", jar.toString(), "serve"));
         command.addAll(limits.arguments());
         return command;
--- a/lab/src/main/java/burlarch/lab/report/Plots.java
+++ b/lab/src/main/java/burlarch/lab/report/Plots.java
@@ -1,6 +1,7 @@
 package burlarch.lab.report;
 
 import burlarch.lab.experiment.Outcome;
+import burlarch.lab.experiment.Samples;
 import burlarch.lab.load.LoadResult;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -153,6 +154,21 @@
         return svg(() -> usage(outcome, "CPU of each proxy", "cores", true));
     }
 
+    /** Of the first proxy: what its CPU goes to. */
+    static String threads(Outcome outcome) {
+        return svg(() -> {
+            XYChart chart = chart("CPU of the first proxy by what its threads are for", "s", "cores");
+            List<Samples.Sample> samples = outcome.usage().values().stream().findFirst().orElse(List.of());
+            java.util.Set<String> groups = new java.util.TreeSet<>();
+            samples.forEach(sample -> groups.addAll(sample.byThread().keySet()));
+            for (String group : groups) {
+                line(chart, group, samples.stream().map(Samples.Sample::s).toList(),
+                        samples.stream().map(sample -> sample.byThread().getOrDefault(group, 0.0)).toList());
+            }
+            return chart;
+        });
+    }
+
     static String memory(Outcome outcome) {
         return svg(() -> usage(outcome, "Resident memory of each proxy", "MB", false));
     }
--- a/lab/src/main/java/burlarch/lab/report/Report.java
+++ b/lab/src/main/java/burlarch/lab/report/Report.java
@@ -29,6 +29,17 @@
             summary(json, outcome);
         }
         Files.writeString(folder.resolve("report.html"), html(outcome));
+        Files.writeString(folder.resolve("cpu.tsv"), cpu(outcome));
+    }
+
+    /** A line a proxy, sample and group of threads: cores used in the 100 ms before. */
+    private static String cpu(Outcome outcome) {
+        StringBuilder text = new StringBuilder("proxy\ts\tthreads\tcores\n");
+        outcome.usage().forEach((proxy, samples) -> samples.forEach(sample -> sample.byThread().forEach(
+                (group, share) -> text.append(String.format(Locale.ROOT, "%s\t%.3f\t%s\t%.4f%n", proxy,
+                sample.s(),
+                        group, share)))));
+        return text.toString();
     }
 
     private static void summary(JsonGenerator json, Outcome outcome) throws IOException {
@@ -116,7 +127,7 @@
         LoadResult load = outcome.load();
         page.append(Plots.latencyByTime(load, outcome.marks())).append(Plots.percentiles(load))
                 .append(Plots.outcomes(load, outcome.marks())).append(Plots.nodes(outcome))
-                .append(Plots.cpu(outcome)).append(Plots.memory(outcome));
+                .append(Plots.cpu(outcome)).append(Plots.threads(outcome)).append(Plots.memory(outcome));
         page.append("<h2>Events</h2><table>");
         outcome.marks().forEach(mark -> page.append(String.format(Locale.ROOT, "<tr><td>%.2f s<td>%s",
                 mark.s(),
