--- a/audit/src/main/java/burlarch/audit/Asked.java
+++ b/audit/src/main/java/burlarch/audit/Asked.java
@@ -23,6 +23,11 @@
         FAILED,
         /** The connection ended without a whole answer. */
         LOST,
+        /**
+         * The kept connection that it was written to was closed without a byte of an answer, and no other
+         * could be had to send it once more: the proxy had not taken it, unless a node has seen it.
+         */
+        CROSSED,
         /** Nothing came while the client listened, which is longer than its timeout. */
         UNANSWERED,
         /** The client closed first, as it had planned to. */
--- a/audit/src/test/java/burlarch/audit/AuditTest.java
+++ b/audit/src/test/java/burlarch/audit/AuditTest.java
@@ -97,6 +97,16 @@
         kept();
     }
 
+    @Test
+    void aRequestThatCrossedACloseIsOwedAnAnswerOnlyIfANodeSawIt() {
+        asked("x", "read", End.CROSSED, 100, 300);
+        kept();
+        attempt("x", "c-1", 110, 200, Fate.GIVEN_UP);
+        broken(Rule.ONE_ANSWER, "x");
+        ran.add(new Ran("n0", 1, 290 * MS));
+        kept();
+    }
+
     @Test
     void twoAnswersAreFound() {
         asked.add(new Asked("x", "n0", "read", false, 100 * MS, 1000 * MS, 110 * MS, End.REFUSED, 429, 0, 2));
--- a/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
@@ -234,6 +234,29 @@
         }
     }
 
+    @Test
+    void aRequestThatCrossedTheCloseOfAProxyThatIsGoneIsWrittenDown() throws Exception {
+        MemorySink sink = new MemorySink(100);
+        ServerSocket server = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
+        InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+        Thread once = new Thread(() -> {
+            try (Socket socket = server.accept()) {
+                readHead(socket.getInputStream());
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                readHead(socket.getInputStream());
+                server.close();
+            } catch (IOException e) {
+                // The records below say that it did not go as it should.
+            }
+        });
+        once.start();
+        end(start(even(10, 0.5, 1), address, sink));
+        once.join();
+        assertEquals(List.of(Asked.End.SERVED, Asked.End.CROSSED),
+                sink.records().asked().stream().map(Asked::end).toList());
+    }
+
     /** Answers each request that it reads; after the first of a connection it reads the next and closes. */
     private static Thread answering(ServerSocket server, int most, String answer, boolean once) {
         Thread thread = new Thread(() -> {
