--- a/experiments/baseline.sh
+++ b/experiments/baseline.sh
@@ -13,7 +13,7 @@
 
 # play NAME RATE NODES CONNECTIONS HEAP_MB DIRECT
 play() {
-    sed -e "s/^to = .*/to = $2/" -e "s/^count = 12/count = $3/" -e "s/^connections = 200/connections = $4\nopen_first = $4/" \
+    sed -e "s/^to = .*/to = $2/" -e "s/^count = 12/count = $3/" -e "s/^connections = 200\$/connections = $4\nopen_first = $4/" \
         "$here/baseline.toml" > "$out/$1.toml"
     printf '[proxies]\npin = "%s"\nheap_mb = %s\nsockets = 45000\nnone = %s\n' "$core" "$5" "$6" >> "$out/$1.toml"
     "$here/../bin/burlarch" experiment "$out/$1.toml" --out "$out/$1" --quiet > "$out/$1.txt" 2>&1 || true
