--- a/lab/src/main/java/burlarch/lab/experiment/Experiment.java
+++ b/lab/src/main/java/burlarch/lab/experiment/Experiment.java
@@ -258,8 +258,9 @@
         private void end(ProxyProcess proxy, String signal) throws IOException, InterruptedException {
             long startedNanos = proxy.startedNanos();
             proxy.signal(signal);
-            proxy.await(DRAIN_MS);
+            // Not once its keeper has ended too, which may be a while later: its connections end now.
             ended.add(new Ran(proxy.name, startedNanos, System.nanoTime()));
+            proxy.await(DRAIN_MS);
         }
 
         @Override
