--- a/lab/src/main/java/burlarch/lab/experiment/Experiment.java
+++ b/lab/src/main/java/burlarch/lab/experiment/Experiment.java
@@ -134,7 +134,7 @@
                     fleet.discovery(vantage.name()), fleet.known(vantage.name()), ++seed));
             List<String> command = ProxyProcess.command(jar, plan.proxies());
             int clientPort = port;
-            if (plan.proxies().multiGet()) {
+            if (plan.load().batch() > 0) {
                 clientPort = ProxyProcess.freePort(host);
                 Path settings = folder.resolve(vantage.name() + ".toml");
                 Files.writeString(settings, "[multiget]\nlisten = \"" + host + ":" + clientPort
--- a/lab/src/main/java/burlarch/lab/experiment/ThreadCpu.java
+++ b/lab/src/main/java/burlarch/lab/experiment/ThreadCpu.java
@@ -45,26 +45,41 @@
     Map<Group, Long> since(long pid) {
         Map<Group, Long> spent = new EnumMap<>(Group.class);
         Map<String, Long> now = new HashMap<>();
-        try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc", Long.toString(pid),
-                "task"))) {
+        boolean runs = each(pid, (thread, nanos) -> {
+            String id = thread.getFileName().toString();
+            now.put(id, nanos);
+            long before = last.getOrDefault(id, last.isEmpty() ? nanos : 0L);
+            String comm = Files.readString(thread.resolve("comm")).strip();
+            spent.merge(Group.of(comm), Math.max(0, nanos - before), Long::sum);
+        });
+        if (!runs) {
+            now.clear();
+        }
+        last.clear();
+        last.putAll(now);
+        return now.isEmpty() ? Map.of() : spent;
+    }
+
+    /** Is told of one thread: its folder in /proc and the CPU time that it has had. */
+    interface Visitor {
+        void thread(Path folder, long nanos) throws IOException;
+    }
+
+    /** @return false where the process has ended */
+    static boolean each(long pid, Visitor visitor) {
+        try (DirectoryStream<Path> threads = Files.newDirectoryStream(
+                Path.of("/proc", Long.toString(pid), "task"))) {
             for (Path one : threads) {
                 try {
-                    String schedstat = Files.readString(one.resolve("schedstat"));
-                    String comm = Files.readString(one.resolve("comm")).strip();
-                    long nanos = Long.parseLong(schedstat.substring(0, schedstat.indexOf(' ')));
-                    String id = one.getFileName().toString();
-                    now.put(id, nanos);
-                    long before = last.getOrDefault(id, last.isEmpty() ? nanos : 0L);
-                    spent.merge(Group.of(comm), Math.max(0, nanos - before), Long::sum);
+                    String text = Files.readString(one.resolve("schedstat"));
+                    visitor.thread(one, Long.parseLong(text.substring(0, text.indexOf(' '))));
                 } catch (IOException | RuntimeException e) {
-                    // A thread that has just ended.
+                    // A thread that has just ended: its time is lost to us.
                 }
             }
+            return true;
         } catch (IOException | DirectoryIteratorException e) {
-            now.clear();
+            return false;
         }
-        last.clear();
-        last.putAll(now);
-        return now.isEmpty() ? Map.of() : spent;
     }
 }
--- a/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/burlarch/lab/load/GeneratorTest.java
@@ -30,9 +30,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The generator beside servers that stall, die and misbehave: what it counts is what arithmetic says. */
+@Timeout(180)
 class GeneratorTest {
     private static final String FLEET = """
             [[kind]]
--- a/proxy/src/test/java/burlarch/proxy/trace/TraceRecorderTest.java
+++ b/proxy/src/test/java/burlarch/proxy/trace/TraceRecorderTest.java
@@ -140,6 +140,8 @@
         }
         recorder.close();
         recorder.taken(arrival("k"));
+        assertFalse(Thread.getAllStackTraces().keySet().stream()
+                .anyMatch(thread -> thread.getName().equals("burlarch-trace")));
     }
 
     @Test
--- a/standins/src/main/java/burlarch/standins/fleet/Values.java
+++ b/standins/src/main/java/burlarch/standins/fleet/Values.java
@@ -9,6 +9,8 @@
 
 /** What the ledger holds: a value tells its key and its version, so that an old one can be known for one. */
 final class Values {
+    private static final int WRITTEN_MOST = 1_000_000;
+
     private final FleetPlan.Objects objects;
     private final long seed;
     /** Of keys that were written; all others are at version 0. */
@@ -28,8 +30,11 @@
         return value;
     }
 
-    /** @return the answer to the write */
+    /** @return the answer to the write; null where it is one of too many keys, and not carried out */
     byte[] write(String key) {
+        if (versions.size() >= WRITTEN_MOST && !versions.containsKey(key)) {
+            return null;
+        }
         writes.incrementAndGet();
         return (key + "=" + versions.merge(key, 1L, Long::sum)).getBytes(StandardCharsets.UTF_8);
     }
