--- a/decisions/src/main/java/burlarch/decisions/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -34,6 +34,8 @@
     /** Further attempts and second copies earned by each request, and the most that all proxies save up. */
     private static final double RETRY_PER_REQUEST = 0.2, RETRY_MOST = 60;
     private static final double SET_UP_GAIN = 0.05;
+    /** Part of the aim that the origin's answer is taken to need before one has come. */
+    private static final double UNKNOWN_ANSWER = 0.1;
     private static final long WATCH_RETRY_NANOS = 500_000_000L, WATCH_RETRY_MOST_NANOS = 8_000_000_000L;
 
     /** One attempt as sent; {@code ended} is null while it is out. */
@@ -55,6 +57,8 @@
         final List<Node> used = new ArrayList<>(2);
         int out;
         boolean done, fetching, waiting, withinShare;
+        /** When a fetch that the origin turned away goes out again; 0 while none waits for that. */
+        long resumeAtNanos;
 
         Pending(Request request, RequestClass kind, long usefulUntilNanos, boolean hasty, double cost) {
             this.request = request;
@@ -93,6 +97,8 @@
     private double retryBudget, meanWork;
     /** Mean times of the caches' answers on new connections and on kept ones. */
     private final double[] freshNanos = {0}, keptNanos = {0};
+    /** Mean time of the origin's answers. */
+    private double originNanos;
     private long watchRetryNanos = WATCH_RETRY_NANOS;
 
     public Policy(Settings settings, long seed, Actions actions) {
@@ -180,6 +186,12 @@
             return;
         }
         boolean fromOrigin = pool.isOrigin(attempt.node);
+        if (fromOrigin && ended.outcome() == Outcome.FULL) {
+            if (!pause(p, nowNanos)) {
+                finish(p, retryAfter(false), nowNanos);
+            }
+            return;
+        }
         if (p.fetching && fromOrigin) {
             releaseFetch(p, nowNanos, false);
         }
@@ -223,6 +235,9 @@
             actions.watchList();
         } else if (p != null && nowNanos >= p.usefulUntilNanos) {
             finish(p, retryAfter(false), nowNanos);
+        } else if (p != null && p.resumeAtNanos != 0 && nowNanos >= p.resumeAtNanos) {
+            p.resumeAtNanos = 0;
+            fetch(p, nowNanos);
         } else if (p != null && p.out > 0 && !p.waiting) {
             hedge(p, nowNanos);
         }
@@ -305,8 +320,31 @@
         } else if (!send(p, origin, nowNanos)) {
             finish(p, retryAfter(false), nowNanos);
         } else if (!p.request.write() && p.request.keyed()) {
-            p.fetching = fetches.putIfAbsent(p.request.key(), new ArrayDeque<>(0)) == null;
+            p.fetching |= fetches.putIfAbsent(p.request.key(), new ArrayDeque<>(0)) == null;
+        }
+    }
+
+    /**
+     * The origin turned the fetch away, so its places are taken: one comes free in about an answer's time.
+     * Repeated at once, as alone would do no harm, the fetches of many proxies find the same full moment up to
+     * the attempt cap, and each takes it for evidence of its own. So each waits a random part of that time,
+     * twice as long with each turn, and its key's other readers wait with it. Harms by that wait where the
+     * place was free sooner; where it would leave no time for an answer the request is refused now.
+     */
+    private boolean pause(Pending p, long nowNanos) {
+        double usual = originNanos > 0 ? originNanos : shortestAimNanos * UNKNOWN_ANSWER;
+        double wait = usual * (0.5 + random.nextDouble());
+        for (int i = 0; i < p.attempts.size() - 1; i++) {
+            wait *= pool.isOrigin(p.attempts.get(i).node) ? 2 : 1;
+        }
+        long resumeAt = nowNanos + (long) wait;
+        if (resumeAt + usual >= p.usefulUntilNanos || p.attempts.size() >= settings.limits().attemptCap()
+                || !spendRetry()) {
+            return false;
         }
+        p.resumeAtNanos = resumeAt;
+        wakeAt(p, resumeAt, nowNanos);
+        return true;
     }
 
     private boolean offer(LearnedCapacity gate, Pending p, long nowNanos) {
@@ -327,6 +365,9 @@
             double[] mean = connects ? freshNanos : keptNanos;
             mean[0] += (ended.elapsedNanos() - mean[0]) * (mean[0] == 0 ? 1 : SET_UP_GAIN);
         }
+        if (accepted && !cache) {
+            originNanos += (ended.elapsedNanos() - originNanos) * (originNanos == 0 ? 1 : SET_UP_GAIN);
+        }
         if (outcome == Outcome.GOOD && cache) {
             pool.onHit(node, ended.elapsedNanos() / cost);
         }
--- a/decisions/src/test/java/burlarch/decisions/PolicyTest.java
+++ b/decisions/src/test/java/burlarch/decisions/PolicyTest.java
@@ -104,6 +104,55 @@
         assertEquals(ORIGIN, actions.lastServer);
     }
 
+    /** The origin's full moment is over in about an answer's time; repeats at once would all meet it again. */
+    @Test
+    void fetchThatTheOriginTurnsAwayGoesOutAgainAfterAPause() {
+        long id = read(7);
+        ends(id, 0, actions.lastServer, Outcome.MISS, 5);
+        long second = read(7);
+        actions.take();
+        ends(id, 1, ORIGIN, Outcome.FULL, 1);
+        assertEquals(List.of(), actions.take(), "nothing at once, and the key's other readers wait on");
+        now += actions.lastTimerNanos - MS;
+        timersFire();
+        assertEquals(List.of(), actions.take(), "not before its time");
+        now += MS;
+        timersFire();
+        assertEquals(List.of("send " + id + " " + ORIGIN), actions.take());
+        ends(id, 2, ORIGIN, Outcome.GOOD, 50);
+        assertEquals(1, actions.count("send " + second), "the reader that waited goes on");
+    }
+
+    @Test
+    void fetchTurnedAwayIsRefusedAtOnceWhereAPauseLeavesNoTimeOrNoAttempt() {
+        long late = read(7);
+        ends(late, 0, actions.lastServer, Outcome.MISS, 750);
+        ends(late, 1, ORIGIN, Outcome.FULL, 1);
+        assertTrue(actions.take().contains("refuse " + late));
+        long often = read(8);
+        ends(often, 0, actions.lastServer, Outcome.MISS, 5);
+        ends(often, 1, ORIGIN, Outcome.FULL, 1);
+        now += actions.lastTimerNanos;
+        timersFire();
+        actions.take();
+        ends(often, 2, ORIGIN, Outcome.FULL, 1);
+        assertEquals(List.of("refuse " + often), actions.take(), "the settings allow three attempts");
+    }
+
+    /** Many proxies that the origin turns away in one moment come back apart, not together. */
+    @Test
+    void proxiesTurnedAwayTogetherComeBackApart() {
+        Set<Long> moments = new HashSet<>();
+        for (int seed = 0; seed < 14; seed++) {
+            policy = new Policy(settings(), seed, actions);
+            policy.onList(now, ListKind.RESTORED, List.of(origin()));
+            long write = ask(NOTE_ALL, 7, true);
+            policy.onEnded(now, new Ended(write, 0, ORIGIN, Outcome.FULL, false, MS));
+            moments.add(actions.lastTimerNanos / MS);
+        }
+        assertTrue(moments.size() >= 10, "apart by milliseconds: " + moments);
+    }
+
     @Test
     void othersWaitForTheFetchOfTheirKey() {
         long first = read(7);
@@ -179,6 +228,10 @@
                 startWithFourCaches();
                 long id = ask(kind, 7, true);
                 ends(id, 0, ORIGIN, outcome, 10);
+                if (outcome == Outcome.FULL) {
+                    now += actions.lastTimerNanos;
+                    timersFire();
+                }
                 boolean again = actions.count("send " + id + " ") == 2;
                 assertEquals(kind != ORDER || outcome.neverRan(), again, outcome + " of class " + kind);
                 if (again) {
