--- a/decisions/src/main/java/burlarch/decisions/CallGapping.java
+++ b/decisions/src/main/java/burlarch/decisions/CallGapping.java
@@ -11,7 +11,7 @@
     private final double[] share;
     final double[] offered, admitted;
     private long lastNanos;
-    private double offeredTotal;
+    private double offeredTotal, lastCapacity;
     private boolean withinShare;
 
     /** @param shares one per tenant; scaled to sum one. An unlisted tenant has no share of its own. */
@@ -41,10 +41,15 @@
         double timeConstant = window / capacity;
         double gap = Math.max(0, nowNanos - lastNanos) * 1e-9;
         lastNanos = nowNanos;
+        // T·â is how many were let through lately. A cut of c lengthens T: kept as a rate, â would count more than
+        // there were and take many of the new, long T to come down, in which nothing goes out to prove recovery.
+        double kept = Math.min(1, lastCapacity > 0 ? capacity / lastCapacity : 1);
+        lastCapacity = capacity;
         double used = 0, total = 0, provisional = 0;
         for (int k = 0; k < share.length; k++) {
             double chi = k == tenant ? 1 : 0;
             offered[k] = advance(offered[k], chi, gap, timeConstant);
+            admitted[k] *= kept;
             if (k == tenant) {
                 provisional = advance(admitted[k], 1, gap, timeConstant);
             }
--- a/decisions/src/test/java/burlarch/decisions/CallGappingTest.java
+++ b/decisions/src/test/java/burlarch/decisions/CallGappingTest.java
@@ -51,6 +51,22 @@
         assertEquals(2 + 1 - 0.25 / 0.5, throttle.offered[0], EXACT);
     }
 
+    /** What goes out proves recovery, so the throttle may not stay shut for long after a deep cut. */
+    @Test
+    void admitsAtTheNewRateSoonAfterADeepCutOfCapacity() {
+        CallGapping throttle = new CallGapping(new double[] {0.6, 0.4});
+        double at = 10;
+        for (int i = 0; i < 400; i++, at += 0.01) {
+            throttle.offer(i % 2, 80, 18, seconds(at));
+        }
+        int admitted = 0;
+        for (int i = 0; i < 500; i++, at += 0.01) {
+            admitted += throttle.offer(i % 2, 2, 18, seconds(at)) ? 1 : 0;
+        }
+        assertTrue(admitted >= 7, "about ten in 5 s at two a second: " + admitted);
+        assertTrue(admitted <= 14, "and no burst: " + admitted);
+    }
+
     @Test
     void rejectedOfferAdvancesAdmittedRateWithoutIt() {
         // c = 2, W = 2, T = 1 s: the third offer at one instant exceeds c.
