--- a/decisions/src/main/java/burlarch/decisions/Api.java
+++ b/decisions/src/main/java/burlarch/decisions/Api.java
@@ -29,7 +29,9 @@
     /** How an attempt ended; {@link #neverRan()} tells whether that proves it had no effect. */
     public enum Outcome {
         GOOD(false), BAD(false), FULL(true), LATE(false), NOCONN(true), RST(false), CXL(false), NOP(true),
-        MISS(true);
+        MISS(true),
+        /** Turned away as the server has no place for a further connection. */
+        CROWDED(true);
 
         private final boolean neverRan;
 
@@ -105,6 +107,9 @@
         /** Closes this proxy's idle connections to a server. */
         void letGo(long server);
 
+        /** From now on closes connections to a server that are idle for so long, all but the one used last. */
+        void trim(long server, long idleNanos);
+
         /** Subscribes to changes of the server list. */
         void watchList();
 
--- a/decisions/src/main/java/burlarch/decisions/CachePool.java
+++ b/decisions/src/main/java/burlarch/decisions/CachePool.java
@@ -25,6 +25,9 @@
     /** Part of that time kept at least: one who closes all that stands idle opens one for every request. */
     private static final double HOLD_LEAST = 1 / 16.0;
 
+    /** Part left, with each connection that a server has no place for, of the time that spare ones are kept. */
+    private static final double SPARE_CUT = 0.25, SPARE_LEAST = 1 / 128.0;
+
     /** Hits that a kind's speed is judged by at most, and those that the listed sizes count for. */
     private static final int SPEED_HITS = 96, SPEED_PRIOR = 8;
 
@@ -57,6 +60,8 @@
         long trialNanos, quietSinceNanos, usedNanos, doubtedUntilNanos, coldLevelNanos;
         long pauseNanos = FIRST_PAUSE_NANOS;
         double coldLevel, fit = 1;
+        /** Part of the idle time that connections beside the one used last are kept here. */
+        double spare = 1;
 
         Node(Server entry, LearnedCapacity capacity, Kind kind, long nowNanos) {
             this.knownSinceNanos = nowNanos;
@@ -302,6 +307,9 @@
         }
         switch (outcome) {
             case GOOD, MISS -> {
+                if (node.spare < 1) {
+                    keepSpare(node, Math.min(1, node.spare * HOLD_GROWTH));
+                }
                 holdPart = Math.min(1, holdPart * HOLD_GROWTH);
                 node.quietSinceNanos = nowNanos;
                 node.failures = 0;
@@ -321,11 +329,25 @@
                 }
             }
             case FULL -> node.quietSinceNanos = nowNanos;
+            case CROWDED -> {
+                node.quietSinceNanos = nowNanos;
+                keepSpare(node, Math.max(SPARE_LEAST, node.spare * SPARE_CUT));
+            }
             default -> { }
         }
         node.trialOut &= !trial && node.doubted;
     }
 
+    /**
+     * A server's places for connections are shared by all proxies. Two or three idle ones each do no harm from
+     * one proxy and fill the places from many, and whoever has none at that moment is shut out. Who meets that
+     * keeps one for its next request and lets the others go soon. Harms by some more new connections.
+     */
+    private void keepSpare(Node node, double part) {
+        node.spare = part;
+        actions.trim(node.id, (long) (part * settings.limits().idleCloseNanos()));
+    }
+
     /**
      * Takes the node out of the order for a pause that grows while its trials fail. Of those that only answer
      * late, at most a quarter: in an overload each one ejected would crowd the rest and make its keys misses.
--- a/decisions/src/main/java/burlarch/decisions/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -186,7 +186,7 @@
             return;
         }
         boolean fromOrigin = pool.isOrigin(attempt.node);
-        if (fromOrigin && ended.outcome() == Outcome.FULL) {
+        if (fromOrigin && (ended.outcome() == Outcome.FULL || ended.outcome() == Outcome.CROWDED)) {
             if (!pause(p, nowNanos)) {
                 finish(p, retryAfter(false), nowNanos);
             }
@@ -358,7 +358,9 @@
         boolean cache = !pool.isOrigin(node);
         boolean accepted = outcome == Outcome.GOOD || outcome == Outcome.MISS;
         pool.onEnded(node, outcome, ended.elapsedNanos(), nowNanos);
-        if (outcome == Outcome.CXL || outcome == Outcome.NOP || brokenConnection(outcome, !cache)) {
+        // A full table of connections is no strain either: c would fall for what idle connections hold.
+        if (outcome == Outcome.CXL || outcome == Outcome.NOP || outcome == Outcome.CROWDED
+                || brokenConnection(outcome, !cache)) {
             return;
         }
         if (accepted && cache) {
--- a/decisions/src/test/java/burlarch/decisions/FakeActions.java
+++ b/decisions/src/test/java/burlarch/decisions/FakeActions.java
@@ -43,6 +43,11 @@
         log.add("let go " + server);
     }
 
+    @Override
+    public void trim(long server, long idleNanos) {
+        log.add("trim " + server + " " + idleNanos);
+    }
+
     @Override
     public void watchList() {
         log.add("watch");
--- a/proxy/src/main/java/burlarch/proxy/NodeMessages.java
+++ b/proxy/src/main/java/burlarch/proxy/NodeMessages.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -32,13 +33,17 @@
         return message;
     }
 
-    /** What an answer says of the attempt. Only 404 and the stated refusals prove that it never ran. */
-    static Outcome outcome(FullHttpResponse response) {
+    /**
+     * What an answer says of the attempt. Only 404 and the stated refusals prove that it never ran.
+     *
+     * @param first whether it is the first on its connection: a refusal that ends that one refuses it
+     */
+    static Outcome outcome(FullHttpResponse response, boolean first) {
         return switch (response.status().code()) {
             case 200 -> Outcome.GOOD;
             case 404 -> Outcome.MISS;
             case 503, 504 -> "1".equals(response.headers().get(Headers.NOT_PROCESSED))
-                    ? Outcome.FULL : Outcome.BAD;
+                    ? first && !HttpUtil.isKeepAlive(response) ? Outcome.CROWDED : Outcome.FULL : Outcome.BAD;
             default -> Outcome.BAD;
         };
     }
--- a/proxy/src/main/java/burlarch/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -71,6 +71,9 @@
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
         final ArrayDeque<Call> waiting = new ArrayDeque<>();
         int connecting;
+        /** How long idle connections beside the one used last are kept. */
+        long spareNanos = Long.MAX_VALUE;
+        ScheduledFuture<?> trimmer;
 
         Node(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -291,6 +294,31 @@
         }
     }
 
+    /** From now on keeps idle connections beside the one used last only so long. */
+    void trim(long nodeId, long idleNanos) {
+        Node node = nodes.get(nodeId);
+        if (node != null) {
+            node.spareNanos = idleNanos;
+            trim(node);
+        }
+    }
+
+    private void trim(Node node) {
+        if (node.spareNanos >= idleCloseNanos) {
+            return;
+        }
+        long nowNanos = clock.nowNanos();
+        while (node.idle.size() > 1 && nowNanos - node.idle.peek().idleSinceNanos >= node.spareNanos) {
+            node.idle.poll().channel.close();
+        }
+        if (node.idle.size() > 1 && node.trimmer == null) {
+            node.trimmer = loop.schedule(() -> {
+                node.trimmer = null;
+                trim(node);
+            }, node.idle.peek().idleSinceNanos + node.spareNanos - nowNanos, TimeUnit.NANOSECONDS);
+        }
+    }
+
     private static void closeIdle(Node node) {
         for (Connection c = node.idle.poll(); c != null; c = node.idle.poll()) {
             c.channel.close();
@@ -320,6 +348,8 @@
         /** Whether an answer has come in this read, and whether the connection is good for another call. */
         boolean answered;
         boolean reusable;
+        /** Whether its node has answered on it before. */
+        boolean proven;
         /** Whether the last byte of the call's request has been written. */
         boolean written;
         boolean awaitsAnswer;
@@ -346,6 +376,7 @@
             } else {
                 idleSinceNanos = clock.nowNanos();
                 node.idle.add(this);
+                trim(node);
             }
         }
 
@@ -417,11 +448,13 @@
             awaitsAnswer = false;
             stopLingering();
             answered = true;
+            boolean first = !proven;
+            proven = true;
             reusable = HttpUtil.isKeepAlive(response) && !decoder.hasMore();
             Call done = call;
             call = null;
             if (done != null) {
-                Outcome outcome = NodeMessages.outcome(response);
+                Outcome outcome = NodeMessages.outcome(response, first);
                 byte[] body = outcome == Outcome.GOOD ? ByteBufUtil.getBytes(response.content()) : null;
                 end(done, outcome, body, response.headers().get(HttpHeaderNames.CONTENT_TYPE));
             }
--- a/proxy/src/main/java/burlarch/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -326,6 +326,11 @@
         nodes.letGo(server);
     }
 
+    @Override
+    public void trim(long server, long idleNanos) {
+        nodes.trim(server, idleNanos);
+    }
+
     @Override
     public void watchList() {
         watchStarter.run();
--- a/proxy/src/main/java/burlarch/proxy/status/StatusBoard.java
+++ b/proxy/src/main/java/burlarch/proxy/status/StatusBoard.java
@@ -86,6 +86,7 @@
         return switch (outcome) {
             case BAD -> "error";
             case FULL -> "full";
+            case CROWDED -> "crowded";
             case LATE -> "timeout";
             case NOCONN -> "connect";
             case RST -> "reset";
