--- a/decisions/src/main/java/burlarch/decisions/CachePool.java
+++ b/decisions/src/main/java/burlarch/decisions/CachePool.java
@@ -25,7 +25,7 @@
     /** Part of that time kept at least: one who closes all that stands idle opens one for every request. */
     private static final double HOLD_LEAST = 1 / 16.0;
 
-    /** Part left, with each connection that a server has no place for, of the time that spare ones are kept. */
+    /** Part left, with each connection that a server has no place for, of the time that others are kept. */
     private static final double SPARE_CUT = 0.25, SPARE_LEAST = 1 / 128.0;
 
     /** Hits that a kind's speed is judged by at most, and those that the listed sizes count for. */
@@ -339,9 +339,9 @@
     }
 
     /**
-     * A server's places for connections are shared by all proxies. Two or three idle ones each do no harm from
-     * one proxy and fill the places from many, and whoever has none at that moment is shut out. Who meets that
-     * keeps one for its next request and lets the others go soon. Harms by some more new connections.
+     * A server's places for connections are shared by all proxies. Two or three idle ones do no harm from
+     * one proxy and fill the places from many, and whoever has none at that moment is shut out. Who meets
+     * that keeps one for its next request and lets the others go soon. Harms by some more new connections.
      */
     private void keepSpare(Node node, double part) {
         node.spare = part;
--- a/decisions/src/main/java/burlarch/decisions/CallGapping.java
+++ b/decisions/src/main/java/burlarch/decisions/CallGapping.java
@@ -41,8 +41,8 @@
         double timeConstant = window / capacity;
         double gap = Math.max(0, nowNanos - lastNanos) * 1e-9;
         lastNanos = nowNanos;
-        // T·â is how many were let through lately. A cut of c lengthens T: kept as a rate, â would count more than
-        // there were and take many of the new, long T to come down, in which nothing goes out to prove recovery.
+        // T·â is how many were let through lately. A cut of c lengthens T: kept as a rate, â would count more
+        // than there were and take many of the new, long T to come down, with nothing out to prove recovery.
         double kept = Math.min(1, lastCapacity > 0 ? capacity / lastCapacity : 1);
         lastCapacity = capacity;
         double used = 0, total = 0, provisional = 0;
--- a/decisions/src/main/java/burlarch/decisions/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -326,10 +326,10 @@
 
     /**
      * The origin turned the fetch away, so its places are taken: one comes free in about an answer's time.
-     * Repeated at once, as alone would do no harm, the fetches of many proxies find the same full moment up to
-     * the attempt cap, and each takes it for evidence of its own. So each waits a random part of that time,
-     * twice as long with each turn, and its key's other readers wait with it. Harms by that wait where the
-     * place was free sooner; where it would leave no time for an answer the request is refused now.
+     * Repeated at once, as alone would do no harm, the fetches of many proxies meet the same full moment up
+     * to the attempt cap, and each takes it for evidence of its own. So each waits a random part of that
+     * time, twice as long with each turn, and its key's other readers wait with it. Harms by that wait where
+     * the place was free sooner; where it would leave no time for an answer the request is refused now.
      */
     private boolean pause(Pending p, long nowNanos) {
         double usual = originNanos > 0 ? originNanos : shortestAimNanos * UNKNOWN_ANSWER;
