--- a/decisions/src/main/java/burlarch/decisions/CachePool.java
+++ b/decisions/src/main/java/burlarch/decisions/CachePool.java
@@ -267,6 +267,19 @@
         }
     }
 
+    String probe(long nowNanos) {
+        int cold = 0;
+        double c = 0;
+        for (Node n : caches) {
+            cold += warmth(n, nowNanos) < 1 ? 1 : 0;
+            c += n.capacity.perSecond();
+        }
+        double now = CallGapping.advance(load, 0, (nowNanos - loadNanos) * 1e-9, LOAD_SECONDS);
+        return "n=" + caches.length + " cold=" + cold + " dbt=" + doubtedCount + String.format(
+                " load=%.1f hold=%.2f holdS=%.2f brk=%.3f nodec=%.1f", now, holdPart, holdNanos() * 1e-9, brokenPart,
+                c / Math.max(1, caches.length));
+    }
+
     // ---- what attempts tell
 
     /** Whether the next attempt there has to open a connection. */
