--- a/decisions/src/main/java/burlarch/decisions/Api.java
+++ b/decisions/src/main/java/burlarch/decisions/Api.java
@@ -107,7 +107,7 @@
         /** Closes this proxy's idle connections to a server. */
         void letGo(long server);
 
-        /** From now on closes connections to a server that are idle so long, all but the one used last. */
+        /** From now on closes this proxy's connections to a server that have been idle for so long. */
         void trim(long server, long idleNanos);
 
         /** Subscribes to changes of the server list. */
--- a/decisions/src/main/java/burlarch/decisions/CachePool.java
+++ b/decisions/src/main/java/burlarch/decisions/CachePool.java
@@ -25,8 +25,8 @@
     /** Part of that time kept at least: one who closes all that stands idle opens one for every request. */
     private static final double HOLD_LEAST = 1 / 16.0;
 
-    /** Part left, with each connection that a server has no place for, of the time that others are kept. */
-    private static final double SPARE_CUT = 0.25, SPARE_LEAST = 1 / 128.0;
+    /** Growth with each answer of that time at a server that had no place: few see it, so it is cut whole. */
+    private static final double SPARE_GROWTH = 1.02;
 
     /** Hits that a kind's speed is judged by at most, and those that the listed sizes count for. */
     private static final int SPEED_HITS = 96, SPEED_PRIOR = 8;
@@ -60,7 +60,7 @@
         long trialNanos, quietSinceNanos, usedNanos, doubtedUntilNanos, coldLevelNanos;
         long pauseNanos = FIRST_PAUSE_NANOS;
         double coldLevel, fit = 1;
-        /** Part of the idle time that connections beside the one used last are kept here. */
+        /** Part of the time that idle connections are kept here. */
         double spare = 1;
 
         Node(Server entry, LearnedCapacity capacity, Kind kind, long nowNanos) {
@@ -267,19 +267,6 @@
         }
     }
 
-    String probe(long nowNanos) {
-        int cold = 0;
-        double c = 0;
-        for (Node n : caches) {
-            cold += warmth(n, nowNanos) < 1 ? 1 : 0;
-            c += n.capacity.perSecond();
-        }
-        double now = CallGapping.advance(load, 0, (nowNanos - loadNanos) * 1e-9, LOAD_SECONDS);
-        return "n=" + caches.length + " cold=" + cold + " dbt=" + doubtedCount + String.format(
-                " load=%.1f hold=%.2f holdS=%.2f brk=%.3f nodec=%.1f", now, holdPart, holdNanos() * 1e-9, brokenPart,
-                c / Math.max(1, caches.length));
-    }
-
     // ---- what attempts tell
 
     /** Whether the next attempt there has to open a connection. */
@@ -321,7 +308,7 @@
         switch (outcome) {
             case GOOD, MISS -> {
                 if (node.spare < 1) {
-                    keepSpare(node, Math.min(1, node.spare * HOLD_GROWTH));
+                    keepSpare(node, Math.min(1, node.spare * SPARE_GROWTH));
                 }
                 holdPart = Math.min(1, holdPart * HOLD_GROWTH);
                 node.quietSinceNanos = nowNanos;
@@ -344,17 +331,26 @@
             case FULL -> node.quietSinceNanos = nowNanos;
             case CROWDED -> {
                 node.quietSinceNanos = nowNanos;
-                keepSpare(node, Math.max(SPARE_LEAST, node.spare * SPARE_CUT));
+                keepSpare(node, spareLeast());
             }
             default -> { }
         }
         node.trialOut &= !trial && node.doubted;
     }
 
+    /**
+     * While places are short, each idle moment keeps another proxy's request from one: over an answer's time,
+     * which patience stands for, a whole request. So one is kept until that equals a new one's charge.
+     */
+    private double spareLeast() {
+        double leastNanos = Math.max(settings.quantumNanos(), settings.charges().handshake() * patienceNanos);
+        return Math.min(1, leastNanos / settings.limits().idleCloseNanos());
+    }
+
     /**
      * A server's places for connections are shared by all proxies. Two or three idle ones do no harm from
      * one proxy and fill the places from many, and whoever has none at that moment is shut out. Who meets
-     * that keeps one for its next request and lets the others go soon. Harms by some more new connections.
+     * that lets its own go soon. Harms by more new connections, up to one a request.
      */
     private void keepSpare(Node node, double part) {
         node.spare = part;
--- a/decisions/src/main/java/burlarch/decisions/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -105,7 +105,6 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        actions.log("SETTINGS " + settings);
         double[] shares = settings.tenants().stream().mapToDouble(Tenant::share).toArray();
         double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
         this.shortestAimNanos =
@@ -137,33 +136,7 @@
         }
     }
 
-    private final TreeMap<String, Integer> pc = new TreeMap<>();
-    private long pNext;
-    private final StringBuilder ev = new StringBuilder();
-
-    void pc(String what) {
-        pc.merge(what, 1, Integer::sum);
-    }
-
-    void pTick(long nowNanos) {
-        if (nowNanos < pNext) {
-            return;
-        }
-        pNext = nowNanos + 500_000_000L;
-        Node o = pool.origin();
-        actions.log("PROBE t=" + System.currentTimeMillis() + " tier.c=" + String.format("%.1f", tier.perSecond())
-                + " tier.off=" + String.format("%.1f", tier.throttle.offeredTotal())
-                + (o == null ? "" : " org.c=" + String.format("%.1f", o.capacity.perSecond()) + " org.off="
-                + String.format("%.1f", o.capacity.throttle.offeredTotal()) + " org.out=" + o.out)
-                + " " + pool.probe(nowNanos) + String.format(" rb=%.1f", retryBudget) + " " + pc);
-        pc.clear();
-        actions.log("EV" + ev);
-        ev.setLength(0);
-    }
-
     public void onRequest(long nowNanos, Request request) {
-        pTick(nowNanos);
-        pc("req" + request.requestClass());
         int index = request.requestClass();
         RequestClass kind = index < 0 ? null : settings.classes().get(index);
         double cost = 1;
@@ -195,17 +168,6 @@
         Pending p = pending.get(ended.request());
         Attempt attempt = p == null || ended.attempt() < 0 || ended.attempt() >= p.attempts.size() ? null
                 : p.attempts.get(ended.attempt());
-        pc("end." + (node == null ? "?" : pool.isOrigin(node) ? "o" : pool.warmth(node, nowNanos) < 1 ? "k" : "c") + "." + ended.outcome());
-        if (node != null && pool.isOrigin(node)) {
-            long endUs = System.currentTimeMillis() * 1000;
-            ev.append(' ').append(endUs / 1000 - ended.elapsedNanos() / 1_000_000).append(',')
-                    .append(endUs / 1000).append(',').append(ended.outcome()).append(',')
-                    .append(attempt != null && attempt.connects ? 'N' : 'K').append(',').append(ended.request())
-                    .append(',').append(p != null && p.request.write() ? 'W' : 'R');
-        }
-        if (node != null && node.entry.kind() != settings.originKind() && ended.outcome() == Outcome.NOCONN) {
-            pc("noconn" + (ended.elapsedNanos() < settings.limits().connectTimeoutNanos() / 2 ? "fast" : "slow"));
-        }
         if (node != null) {
             // A time-out tells of the client, not of the server, where the client hardly waited.
             Outcome told = ended.outcome() == Outcome.LATE && p != null && p.hasty ? Outcome.CXL
@@ -226,7 +188,6 @@
         boolean fromOrigin = pool.isOrigin(attempt.node);
         if (fromOrigin && (ended.outcome() == Outcome.FULL || ended.outcome() == Outcome.CROWDED)) {
             if (!pause(p, nowNanos)) {
-                pc("F.pause" + (p.attempts.size() >= settings.limits().attemptCap() ? ".cap" : retryBudget < 1 ? ".budget" : ".time") + (p.request.write() ? ".w" : ""));
                 finish(p, retryAfter(false), nowNanos);
             }
             return;
@@ -243,7 +204,6 @@
                 fetch(p, nowNanos);
             }
         } else if (!brokenConnection(ended.outcome(), fromOrigin) && !spendRetry()) {
-            pc("F.retry");
             finish(p, retryAfter(false), nowNanos);
         } else if (fromOrigin) {
             fetch(p, nowNanos);
@@ -274,7 +234,6 @@
         if (token == WATCH) {
             actions.watchList();
         } else if (p != null && nowNanos >= p.usefulUntilNanos) {
-            pc(p.out > 0 ? "F.time.out" : p.waiting ? "F.time.wait" : "F.time");
             finish(p, retryAfter(false), nowNanos);
         } else if (p != null && p.resumeAtNanos != 0 && nowNanos >= p.resumeAtNanos) {
             p.resumeAtNanos = 0;
@@ -294,9 +253,6 @@
                 tier.keepAhead();
             }
             refusals = offer(tier, p, nowNanos) ? 0 : 2;
-            if (refusals > 0) {
-                pc("F.tier");
-            }
             p.withinShare = tier.throttle.wasWithinShare();
         }
         // A tenant within its share of the tier is not refused for one cache's crowding and may go on to the
@@ -310,19 +266,12 @@
             node.capacity.keepAhead();
             if (!offer(node.capacity, p, nowNanos)) {
                 refusals++;
-                pc("R.node");
             } else if (send(p, node, nowNanos)) {
                 wakeAt(p, nowNanos + patienceNanos(p.last().connects), nowNanos);
-                pc(p.last().connects ? "S.new" : "S.kept");
                 return;
-            } else {
-                pc("R.send");
             }
         }
         if (refusals > 0) {
-            if (!p.used.isEmpty()) {
-                pc("F.node");
-            }
             finish(p, retryAfter(!p.withinShare), nowNanos);
         } else {
             fetch(p, nowNanos);
@@ -365,13 +314,10 @@
     private void fetch(Pending p, long nowNanos) {
         Node origin = pool.origin();
         if (origin == null) {
-            pc("F.noorg");
             finish(p, retryAfter(false), nowNanos);
         } else if (!offer(origin.capacity, p, nowNanos)) {
-            pc(p.request.write() ? "F.org.w" : "F.org.r");
             finish(p, retryAfter(!origin.capacity.throttle.wasWithinShare()), nowNanos);
         } else if (!send(p, origin, nowNanos)) {
-            pc("F.orgsend");
             finish(p, retryAfter(false), nowNanos);
         } else if (!p.request.write() && p.request.keyed()) {
             p.fetching |= fetches.putIfAbsent(p.request.key(), new ArrayDeque<>(0)) == null;
--- a/proxy/src/main/java/burlarch/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -71,7 +71,7 @@
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
         final ArrayDeque<Call> waiting = new ArrayDeque<>();
         int connecting;
-        /** How long idle connections beside the one used last are kept. */
+        /** How long idle connections are kept where the node's places are short. */
         long spareNanos = Long.MAX_VALUE;
         ScheduledFuture<?> trimmer;
 
@@ -294,7 +294,7 @@
         }
     }
 
-    /** From now on keeps idle connections beside the one used last only so long. */
+    /** From now on keeps idle connections only so long. */
     void trim(long nodeId, long idleNanos) {
         Node node = nodes.get(nodeId);
         if (node != null) {
@@ -308,10 +308,10 @@
             return;
         }
         long nowNanos = clock.nowNanos();
-        while (node.idle.size() > 1 && nowNanos - node.idle.peek().idleSinceNanos >= node.spareNanos) {
+        while (!node.idle.isEmpty() && nowNanos - node.idle.peek().idleSinceNanos >= node.spareNanos) {
             node.idle.poll().channel.close();
         }
-        if (node.idle.size() > 1 && node.trimmer == null) {
+        if (!node.idle.isEmpty() && node.trimmer == null) {
             node.trimmer = loop.schedule(() -> {
                 node.trimmer = null;
                 trim(node);
