--- a/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
@@ -82,6 +82,27 @@
         }
     }
 
+    /** Discovery may die in the middle of a list: half of it is none. */
+    @Test
+    void aTruncatedListLeavesTheLastAndIsAskedForAgain() throws Exception {
+        try (Fixture f = new Fixture(); FakeServer other = new FakeServer()) {
+            f.cache.answerWith("200 OK", "old");
+            other.answerWith("200 OK", "new");
+            String line = Fixture.list(50, true, List.of(Fixture.entry("c-2", other, "cache", "SERVING"),
+                    Fixture.entry("o-1", f.origin, "origin", "SERVING"))) + "\n";
+            FakeServer.Received watch = f.discovery.next();
+            watch.write(OPEN + chunk(line.substring(0, line.length() - 4)));
+            watch.reset();
+            FakeServer.Received again = f.discovery.next();
+            assertEquals("/catalog/members?stream=1&index=41", again.uri, "nothing of it has counted");
+            for (int i = 0; i < 20; i++) {
+                assertEquals("old", f.read("k" + i).get().body());
+            }
+            again.write(OPEN + chunk(line));
+            awaitServedBy(f, "new");
+        }
+    }
+
     /** The node is the same though it listens elsewhere now. */
     @Test
     void aNodesAddressMayChange() throws Exception {
