--- a/proxy/src/main/java/burlarch/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -298,6 +298,10 @@
     void trim(long nodeId, long idleNanos) {
         Node node = nodes.get(nodeId);
         if (node != null) {
+            if (node.trimmer != null && idleNanos < node.spareNanos) {
+                node.trimmer.cancel(false);
+                node.trimmer = null;
+            }
             node.spareNanos = idleNanos;
             trim(node);
         }
