--- a/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
+++ b/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
@@ -8,7 +8,6 @@
 import burlarch.wire.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -19,7 +18,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -58,7 +56,7 @@
         void discoveryAnswered();
     }
 
-    private static final int LONGEST_LINE = 4 << 20;
+    private static final int LONGEST_LIST = 4 << 20;
     private static final int CONNECT_MS = 2000;
     private static final long AGENT_RETRY_MS = 500;
     /** Discovery writes a line every 2 s; TCP does not tell of one that has vanished. */
@@ -192,16 +190,19 @@
         }
     }
 
-    private void line(String text) {
+    private void list(String text) {
         try {
             Json list = Json.parse(text.getBytes(StandardCharsets.UTF_8));
             apply(list, list.get("reset").flag(false) ? ListKind.REPLACE : ListKind.UPDATE);
         } catch (IOException | RuntimeException e) {
-            Log.line("skipped a malformed line of discovery: "
-                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            skipped(String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
     }
 
+    private static void skipped(String why) {
+        Log.line("skipped a malformed list of discovery: " + why);
+    }
+
     /** One watch, from its connection's start to its end. */
     private final class Stream {
         private final InetSocketAddress address = discovery;
@@ -217,8 +218,7 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel c) {
-                            c.pipeline().addLast(new HttpClientCodec(), new ChunkReader(),
-                                    new LineBasedFrameDecoder(LONGEST_LINE), new LineReader());
+                            c.pipeline().addLast(new HttpClientCodec(), new ChunkReader(), new ListReader());
                         }
                     }).connect(address);
             channel = connect.channel();
@@ -296,18 +296,38 @@
             }
         }
 
-        private final class LineReader extends SimpleChannelInboundHandler<ByteBuf> {
+        /** Takes the body apart; what one read holds counts in its order. */
+        private final class ListReader extends SimpleChannelInboundHandler<ByteBuf>
+                implements EntryFramer.Sink {
+            private final EntryFramer framer = new EntryFramer(LONGEST_LIST, this);
+
             @Override
             protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
-                byte[] text = ByteBufUtil.getBytes(bytes);
-                if (!over && text.length > 0) {
-                    line(new String(text, StandardCharsets.UTF_8));
+                while (!over && bytes.isReadable()) {
+                    if (!framer.take(bytes.readByte())) {
+                        end("a list of over " + LONGEST_LIST + " bytes");
+                    }
                 }
+            }
+
+            @Override
+            public void object(String text) {
+                list(text);
+                beat();
+            }
+
+            @Override
+            public void beat() {
                 if (observer != null) {
                     observer.discoveryAnswered();
                 }
             }
 
+            @Override
+            public void malformed(String text) {
+                skipped("not an object");
+            }
+
             @Override
             public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
                 end(String.valueOf(cause.getMessage()));
--- a/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
@@ -49,6 +49,29 @@
         }
     }
 
+    /** Lists may come indented, and cut anywhere: each byte comes in a read of its own. */
+    @Test
+    void anIndentedListCounts() throws Exception {
+        try (Fixture f = new Fixture(); FakeServer other = new FakeServer()) {
+            f.cache.answerWith("200 OK", "old");
+            other.answerWith("200 OK", "new");
+            String list = Fixture.list(43, false, List.of(Fixture.entry("c-1", f.cache, "cache", "DRAINING"),
+                    Fixture.entry("c-2", other, "cache", "SERVING")))
+                    .replace("{", "{\n    ").replace(",", ",\n  ").replace("}", "\n  }");
+            FakeServer.Received watch = f.discovery.next();
+            watch.write(OPEN);
+            for (int i = 0; i < list.length(); i++) {
+                watch.write(chunk(list.substring(i, i + 1)));
+            }
+            awaitServedBy(f, "new");
+            for (int i = 0; i < 20; i++) {
+                assertEquals("new", f.read("j" + i).get().body());
+            }
+            watch.channel.close();
+            assertEquals("/catalog/members?stream=1&index=43", f.discovery.next().uri);
+        }
+    }
+
     @Test
     void aResetReplacesTheWholeList() throws Exception {
         try (Fixture f = new Fixture(); FakeServer other = new FakeServer()) {
