--- a/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
+++ b/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
@@ -59,8 +59,15 @@
     private static final int LONGEST_LIST = 4 << 20;
     private static final int CONNECT_MS = 2000;
     private static final long AGENT_RETRY_MS = 500;
-    /** Discovery writes a line every 2 s; TCP does not tell of one that has vanished. */
-    private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(5);
+    /** What a call may take until it is answered: calls are worked through in turn. */
+    private static final long ANSWER_NANOS = TimeUnit.SECONDS.toNanos(5);
+    /**
+     * Discovery writes a line every 2 s; TCP does not tell of one that has vanished. What a silent watch misses
+     * counts as told 6 s after it fell silent: half of that is left for the backoff and for a new watch.
+     */
+    private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** A turn of the loop: what came while it was behind lies unread when the timer is due. */
+    private static final long UNREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final EventLoop loop;
     private final ProxyClock clock;
@@ -211,7 +218,7 @@
         private boolean over;
 
         void open() {
-            heard();
+            patience(ANSWER_NANOS);
             ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -239,12 +246,20 @@
             channel.writeAndFlush(request);
         }
 
-        /** Anything that discovery writes shows that it is there. */
-        void heard() {
+        /** The answer's head, whole lists and empty lines show that it is there; parts of a list do not. */
+        private void heard() {
+            if (!over) {
+                patience(SILENCE_NANOS);
+            }
+        }
+
+        private void patience(long nanos) {
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> end("silent"), SILENCE_NANOS, TimeUnit.NANOSECONDS);
+            silence = loop.schedule(() -> {
+                silence = loop.schedule(() -> end("silent"), UNREAD_NANOS, TimeUnit.NANOSECONDS);
+            }, nanos, TimeUnit.NANOSECONDS);
         }
 
         /** @param why for the log; null when this proxy ends it */
@@ -273,12 +288,13 @@
                 if (message instanceof HttpResponse response
                         && (response.status().code() != 200 || response.decoderResult().isFailure())) {
                     end("answered " + response.status().code());
+                } else if (message instanceof HttpResponse) {
+                    heard();
                 }
                 if (over || !(message instanceof HttpContent content)) {
                     ReferenceCountUtil.release(message);
                     return;
                 }
-                heard();
                 context.fireChannelRead(content.content());
                 if (message instanceof LastHttpContent) {
                     end("over");
@@ -318,6 +334,7 @@
 
             @Override
             public void beat() {
+                heard();
                 if (observer != null) {
                     observer.discoveryAnswered();
                 }
--- a/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
@@ -167,6 +167,21 @@
         }
     }
 
+    /** Bytes come, but never a whole list: what it withholds counts as told all the same. */
+    @Test
+    void aWatchThatOnlyDripsIsBegunAgain() throws Exception {
+        try (Fixture f = new Fixture()) {
+            FakeServer.Received watch = f.discovery.next();
+            watch.write(OPEN + chunk("{\"generation\":\""));
+            long startNanos = System.nanoTime();
+            while (f.discovery.nothingAsked() && System.nanoTime() - startNanos < 20_000_000_000L) {
+                watch.drip(chunk("x"));
+                Thread.sleep(100);
+            }
+            assertEquals("/catalog/members?stream=1&index=41", f.discovery.next().uri);
+        }
+    }
+
     /** Both names have the same digest; each is a node of its own all the same. */
     @Test
     void idsNeverCollide() throws Exception {
--- a/proxy/src/test/java/burlarch/proxy/FakeServer.java
+++ b/proxy/src/test/java/burlarch/proxy/FakeServer.java
@@ -64,6 +64,12 @@
             channel.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)).syncUninterruptibly();
         }
 
+        /** As {@link #write}, where the other side may have ended the connection. */
+        public void drip(String text) {
+            channel.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
+                    .awaitUninterruptibly();
+        }
+
         public void reset() {
             ((SocketChannel) channel).config().setSoLinger(0);
             channel.close().syncUninterruptibly();
