--- a/proxy/src/main/java/burlarch/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -40,6 +40,14 @@
     private static final int CONNECTS_AT_ONCE = 4;
     private static final int LARGEST_ANSWER = 64 * 1024 + 4096;
     private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /**
+     * How long a connection rests after an answer before it is given the next call. A second answer that
+     * comes some milliseconds late carries no sign of whose it is: after the next call had gone out it would
+     * be taken for that one's, and a client be served what was made for another.
+     */
+    private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    /** A turn of the loop after that, which reads what had come by then. */
+    private static final long REST_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     /** How long an answer that nobody waits for is awaited for its connection's sake. */
     private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -88,6 +96,7 @@
     private final ScheduledFuture<?> sweeper;
     private final Map<Long, Node> nodes = new HashMap<>();
     private final int connectionsMost;
+    private final long restNanos;
     private boolean connectsOn;
     /** Connections that are up or on their way. */
     private int open;
@@ -95,7 +104,13 @@
     private final Set<Connection> lingering = new LinkedHashSet<>();
 
     NodePool(EventLoop loop, ProxyClock clock, Limits limits, int connectionsMost) {
+        this(loop, clock, limits, connectionsMost, REST_NANOS);
+    }
+
+    /** @param restNanos how long a connection rests after an answer */
+    NodePool(EventLoop loop, ProxyClock clock, Limits limits, int connectionsMost, long restNanos) {
         this.loop = loop;
+        this.restNanos = restNanos;
         this.connectionsMost = connectionsMost;
         this.clock = clock;
         this.limits = limits;
@@ -183,10 +198,15 @@
         connectForWaiting(node);
     }
 
+    /** The rested connection that was used last. */
     private static Connection takeIdle(Node node) {
-        for (Connection c = node.idle.pollLast(); c != null; c = node.idle.pollLast()) {
-            if (c.channel.isActive()) {
-                return c;
+        for (Iterator<Connection> i = node.idle.descendingIterator(); i.hasNext();) {
+            Connection connection = i.next();
+            if (!connection.channel.isActive()) {
+                i.remove();
+            } else if (!connection.resting) {
+                i.remove();
+                return connection;
             }
         }
         return null;
@@ -208,6 +228,7 @@
         }
         if (call.waitsAt != null) {
             call.waitsAt.waiting.remove(call);
+            call.waitsAt = null;
         }
         if (call.connection != null && call.connection.call == call) {
             call.connection.abandon();
@@ -215,8 +236,13 @@
         call.ended(outcome, body, contentType);
     }
 
+    /** Connections that rest take waiting calls sooner than new ones would come up. */
     private void connectForWaiting(Node node) {
-        while (node.connecting < Math.min(CONNECTS_AT_ONCE, node.waiting.size()) && hasRoom()) {
+        if (node.waiting.isEmpty()) {
+            return;
+        }
+        int resting = (int) node.idle.stream().filter(connection -> connection.resting).count();
+        while (node.connecting < Math.min(CONNECTS_AT_ONCE, node.waiting.size() - resting) && hasRoom()) {
             node.connecting++;
             open++;
             InetSocketAddress address = node.endpoint.address();
@@ -357,6 +383,8 @@
         /** Whether the last byte of the call's request has been written. */
         boolean written;
         boolean awaitsAnswer;
+        /** Whether it stands idle only so that what comes behind its answer is seen. */
+        boolean resting;
         long idleSinceNanos;
         ScheduledFuture<?> lingerTimer;
 
@@ -366,12 +394,41 @@
             this.channel = channel;
         }
 
+        private boolean isOfUse() {
+            return channel.isActive() && node.endpoint.serving()
+                    && address.equals(node.endpoint.address());
+        }
+
+        private void discard() {
+            channel.close();
+            connectForWaiting(node);
+        }
+
+        /** Stands idle after an answer, and takes a call when it has rested. */
+        private void rest() {
+            if (!isOfUse()) {
+                discard();
+                return;
+            }
+            resting = true;
+            idleSinceNanos = clock.nowNanos();
+            node.idle.add(this);
+            loop.schedule(() -> loop.schedule(this::rested, REST_TURN_NANOS, TimeUnit.NANOSECONDS),
+                    restNanos, TimeUnit.NANOSECONDS);
+            trim(node);
+        }
+
+        private void rested() {
+            resting = false;
+            if (!node.waiting.isEmpty() && node.idle.remove(this)) {
+                free();
+            }
+        }
+
         /** Takes the next waiting call, or stands idle. */
         void free() {
-            if (!channel.isActive() || !node.endpoint.serving()
-                    || !address.equals(node.endpoint.address())) {
-                channel.close();
-                connectForWaiting(node);
+            if (!isOfUse()) {
+                discard();
                 return;
             }
             Call next = node.waiting.poll();
@@ -444,7 +501,8 @@
                     && response.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
                 return;
             }
-            if (!awaitsAnswer || spoilt) {
+            // What comes before the request is out whole answers something else.
+            if (!awaitsAnswer || spoilt || !written) {
                 reusable = false;
                 channel.close();
                 return;
@@ -470,10 +528,9 @@
             if (answered) {
                 answered = false;
                 if (reusable) {
-                    free();
+                    rest();
                 } else {
-                    channel.close();
-                    connectForWaiting(node);
+                    discard();
                 }
             }
         }
