--- a/proxy/src/main/java/burlarch/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -217,6 +217,13 @@
         end(call, call.connection == null ? Outcome.NOP : Outcome.CXL, null, null);
     }
 
+    /** Ends a call that waits for a connection, as never sent; one that is on its way goes on. */
+    void withdraw(Call call) {
+        if (call.waitsAt != null) {
+            end(call, Outcome.NOP, null, null);
+        }
+    }
+
     /** The one end of every call. One that ends unanswered leaves its connection lingering or closes it. */
     private void end(Call call, Outcome outcome, byte[] body, String contentType) {
         if (call.over) {
--- a/proxy/src/main/java/burlarch/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -237,6 +237,12 @@
         observers.forEach(observer -> observer.answered(open.requestClass));
         how.run();
         checkEmpty();
+        // What has not gone out yet may not do so later: nobody waits for it.
+        open.attempts.forEach(attempt -> {
+            if (attempt != null) {
+                nodes.withdraw(attempt);
+            }
+        });
     }
 
     private void forgetIfOver(Open open) {
