--- a/proxy/src/main/java/burlarch/proxy/ClientConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -23,13 +22,21 @@
 /** One client connection, with at most one request in the table, answered in the order of its requests. */
 final class ClientConnection extends SimpleChannelInboundHandler<Object> implements RequestHandler.Reply {
     /** Requests that may have been sent ahead of their answers before no more is read. */
-    private static final int AHEAD_MOST = 8;
+    private static final int AHEAD_MOST = 64;
+    /** While no more is read a client's end is not seen: what has waited so long since is not begun any more. */
+    private static final long UNSEEN_MOST_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** How long a client may take to read its answer. */
+    private static final long WRITE_MOST_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** How long a connection's first request, or one that was begun, may take to come. */
     static final long SLOW_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** What a connection is doing, in the order in which one may be given up for a new one. */
     enum Use { SILENT, IDLE, PART, BUSY }
 
+    /** A request, or a rejection in its place, and when it was read. */
+    private record Read(Object message, long nanos) {
+    }
+
     private final ClientListener listener;
     private final RequestHandler handler;
     private final ProxyClock clock;
@@ -38,11 +45,15 @@
     private final RequestCollector collector;
     private final RequestCollector.Budget budget;
     /** Requests, or rejections in their place, that came before the answer to the one before them. */
-    private final ArrayDeque<Object> ahead = new ArrayDeque<>(0);
+    private final ArrayDeque<Read> ahead = new ArrayDeque<>(0);
     /** When it was opened or last answered. */
     private long freeSinceNanos;
+    /** When it was last decided to read no more for a while. */
+    private long pausedNanos = Long.MIN_VALUE;
     private boolean asked;
     private boolean busy;
+    /** Whether an answer is on its way to the client: the next request has its turn once that is out. */
+    private boolean writing;
     private boolean keepAlive;
     private boolean closing;
     /** Gives up the request in hand; null while there is none. */
@@ -62,7 +73,7 @@
     }
 
     Use use() {
-        if (busy || closing || !ahead.isEmpty()) {
+        if (busy || writing || closing || !ahead.isEmpty()) {
             return Use.BUSY;
         }
         if (collector.inBody() || decoder.partSinceNanos(0) != 0) {
@@ -83,6 +94,10 @@
 
     /** Answers 408 where a first request has not come or one that was begun is not whole. */
     void endIfSlow(long nowNanos) {
+        if (writing && nowNanos - freeSinceNanos >= WRITE_MOST_NANOS) {
+            channel.close();
+            return;
+        }
         Use use = use();
         if (use == Use.BUSY || use == Use.IDLE) {
             return;
@@ -103,8 +118,9 @@
             return;
         }
         asked = true;
-        ahead.add(message);
+        ahead.add(new Read(message, clock.nowNanos()));
         if (ahead.size() >= AHEAD_MOST) {
+            pausedNanos = clock.nowNanos();
             channel.config().setAutoRead(false);
         }
         next();
@@ -118,14 +134,19 @@
     }
 
     private void next() {
-        while (!busy && !closing && !ahead.isEmpty()) {
-            Object message = ahead.poll();
+        while (!busy && !writing && !closing && !ahead.isEmpty()) {
+            Read read = ahead.poll();
+            Object message = read.message;
             busy = true;
             try {
                 if (message instanceof Rejection rejection) {
                     reject(rejection.status);
+                } else if (read.nanos <= pausedNanos
+                        && clock.nowNanos() - read.nanos > UNSEEN_MOST_NANOS) {
+                    keepAlive = HttpUtil.isKeepAlive((FullHttpRequest) message);
+                    refused(0, false);
                 } else {
-                    handle((FullHttpRequest) message);
+                    handle((FullHttpRequest) message, read.nanos);
                 }
             } catch (RuntimeException e) {
                 Log.line("a request failed: " + e);
@@ -134,12 +155,12 @@
                 drop(message);
             }
         }
-        if (!closing && ahead.isEmpty()) {
+        if (!closing && ahead.size() < AHEAD_MOST) {
             channel.config().setAutoRead(true);
         }
     }
 
-    private void handle(FullHttpRequest request) {
+    private void handle(FullHttpRequest request, long readNanos) {
         keepAlive = HttpUtil.isKeepAlive(request);
         try {
             RequestReader.checkFraming(request);
@@ -149,7 +170,7 @@
                         : listener.takesMore() ? 200 : 503);
                 return;
             }
-            Runnable givesUp = handler.handle(request, this);
+            Runnable givesUp = handler.handle(request, readNanos, this);
             leave = busy ? givesUp : null;
         } catch (Rejection e) {
             reject(e.status);
@@ -199,8 +220,9 @@
         return response;
     }
 
+    /** What was read is owed an answer: at the end of a drain too the last one's alone ends the connection. */
     private boolean last() {
-        return !keepAlive || listener.ending();
+        return !keepAlive || listener.ending() && ahead.isEmpty();
     }
 
     @Override
@@ -213,23 +235,30 @@
     private ChannelFuture write(FullHttpResponse response) {
         closing |= last();
         busy = false;
+        writing = true;
         leave = null;
         freeSinceNanos = clock.nowNanos();
-        ChannelFuture written = channel.writeAndFlush(response);
         if (closing) {
             channel.config().setAutoRead(false);
-            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        return channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
+    }
+
+    private void written(boolean whole) {
+        writing = false;
+        freeSinceNanos = clock.nowNanos();
+        if (closing || !whole) {
+            channel.close();
         } else if (!ahead.isEmpty()) {
             channel.eventLoop().execute(this::next);
         }
-        return written;
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         listener.ended(this);
         closing = true;
-        ahead.forEach(this::drop);
+        ahead.forEach(read -> drop(read.message));
         ahead.clear();
         if (leave != null) {
             leave.run();
--- a/proxy/src/main/java/burlarch/proxy/ClientListener.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientListener.java
@@ -24,6 +24,10 @@
     private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** Between requests a connection stays open for so long at least. */
     private static final long IDLE_LEAST_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** A turn of the loop, which accepts and reads what has come. */
+    private static final long TURN_MS = 2;
+    /** For a listener that more come to in every turn. */
+    private static final int CLOSE_TURNS_MOST = 20;
 
     private final EventLoop loop;
     private final ProxyClock clock;
@@ -37,6 +41,9 @@
     private boolean sweeping;
     private boolean draining;
     private boolean ending;
+    /** How many connections have been accepted. */
+    private long accepted;
+    private Runnable whenEnded;
 
     ClientListener(EventLoop loop, ProxyClock clock, RequestTable table, BooleanSupplier ready,
             LongSupplier lag, int connectionsMost) {
@@ -60,6 +67,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        accepted++;
                         if (connections.size() < connectionsMost || makeRoom()) {
                             install(channel, port);
                         } else {
@@ -109,10 +117,21 @@
         for (ClientConnection connection : List.copyOf(connections)) {
             connection.endIfSlow(nowNanos);
         }
+        if (ending) {
+            endFree();
+        }
     }
 
     void ended(ClientConnection connection) {
         connections.remove(connection);
+        checkEnded();
+    }
+
+    private void checkEnded() {
+        if (ending && connections.isEmpty() && whenEnded != null) {
+            whenEnded.run();
+            whenEnded = null;
+        }
     }
 
     RequestReader reader() {
@@ -136,18 +155,43 @@
         reader.endAt(endNanos);
     }
 
-    /** Takes no more connections. */
+    /**
+     * Takes no more connections, once a turn of the loop has found none that was accepted for it: their
+     * requests may be written, and closing would reset them.
+     */
     void closeServer() {
-        servers.forEach(Channel::close);
+        closeServer(accepted, CLOSE_TURNS_MOST);
     }
 
-    /** From now on each answer ends its connection, and those that carry no request end at once. */
-    void endConnections() {
+    private void closeServer(long before, int turnsLeft) {
+        loop.schedule(() -> {
+            if (accepted == before || turnsLeft == 0) {
+                servers.forEach(Channel::close);
+            } else {
+                closeServer(accepted, turnsLeft - 1);
+            }
+        }, TURN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * From now on each last answer ends its connection, and those that carry no request end after a turn of
+     * the loop, which reads what they hold. The end of the connections is the end of all that is owed: what
+     * waits behind another request, what is half read, and answers that are not out keep theirs.
+     *
+     * @param action runs once when there is none left
+     */
+    void endConnections(Runnable action) {
         ending = true;
+        whenEnded = action;
+        loop.schedule(this::endFree, TURN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void endFree() {
         for (ClientConnection connection : List.copyOf(connections)) {
-            if (connection.use() != Use.BUSY) {
+            if (connection.use() == Use.IDLE || connection.use() == Use.SILENT) {
                 connection.giveUp();
             }
         }
+        checkEnded();
     }
 }
--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -70,7 +70,6 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
             new DefaultThreadFactory("burlarch-loop"), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final CountDownLatch drained = new CountDownLatch(1);
     private final ProxyClock clock = new ProxyClock();
     private final Features features;
     /** Null where that port is off. */
@@ -82,8 +81,6 @@
     private ClientListener clients;
     /** Null where there is none. */
     private volatile HotList hotList;
-    /** Null where that port is off. */
-    private MultiGet multiGet;
     private volatile StatusPage statusPage;
     /** Where the ports beside the plain one are bound, by the names of their settings. */
     private final Map<String, SocketAddress> sidePorts = new ConcurrentHashMap<>();
@@ -154,8 +151,9 @@
                 // Not SIGUSR2, which is HotSpot's; where nobody takes it, SIGURG does nothing.
                 Signal.handle(new Signal("URG"), signal -> main.reloadCertificates());
             }
-            main.start(config);
+            // Before the port is bound: from then on requests come, and a SIGTERM would lose them.
             Runtime.getRuntime().addShutdownHook(new Thread(main::drain, "burlarch-drain"));
+            main.start(config);
         } catch (ProxyConfig.ConfigException | SettingsException e) {
             exit(e.getMessage());
         } catch (ExecutionException e) {
@@ -266,7 +264,7 @@
                     bound);
         }
         if (multiGetAt != null) {
-            multiGet = new MultiGet(loop, clients.reader(), table, features.multiGet().maxKeys());
+            MultiGet multiGet = new MultiGet(loop, clients.reader(), table, features.multiGet().maxKeys());
             sidePort("multiget.listen", multiGetAt, clients.bind(multiGetAt, channel -> multiGet), bound);
         }
     }
@@ -338,14 +336,6 @@
         return loop.submit(() -> table.owed()).get();
     }
 
-    private void answered() {
-        if (multiGet == null) {
-            drained.countDown();
-        } else {
-            multiGet.whenWritten(drained::countDown);
-        }
-    }
-
     private void closeServers() {
         clients.closeServer();
         if (statusPage != null) {
@@ -370,21 +360,14 @@
      * for it, as the process is gone when the hook returns.
      */
     void drain() {
-        loop.execute(() -> {
-            long longestMs = Math.min(LONGEST_DEADLINE_MS,
-                    TimeUnit.NANOSECONDS.toMillis(clients.reader().longestTimeoutNanos()));
-            long answeredMs = KILL_AFTER_MS + longestMs - ANSWERED_BEFORE_MS;
-            Log.line("draining, " + table.owed() + " requests in hand");
-            clients.drain(clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(answeredMs));
-            loop.schedule(this::closeServers, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
-            loop.schedule(() -> {
-                clients.endConnections();
-                table.whenEmpty(this::answered);
-            }, Math.max(ACCEPT_ON_MS, answeredMs - ASKED_BEFORE_MS), TimeUnit.MILLISECONDS);
-        });
+        CountDownLatch drained = new CountDownLatch(1);
         try {
-            boolean empty = drained.await(KILL_AFTER_MS + LONGEST_DEADLINE_MS, TimeUnit.MILLISECONDS);
-            Log.line(empty ? "drained" : "ends with requests in hand");
+            long longestMs = loop.submit(() -> beginDrain(drained)).get();
+            if (longestMs < 0) {
+                return;
+            }
+            boolean empty = drained.await(KILL_AFTER_MS + longestMs, TimeUnit.MILLISECONDS);
+            Log.line(empty ? "drained" : "ends with connections in hand");
             if (trace != null) {
                 trace.close();
             }
@@ -392,6 +375,24 @@
             Log.flush(FLUSH_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            Log.line("cannot drain: " + e.getCause());
+        }
+    }
+
+    /** @return the longest time of a request in milliseconds; -1 where no port is bound and nothing is owed */
+    private long beginDrain(CountDownLatch drained) {
+        if (!ready) {
+            return -1;
         }
+        long longestMs = table.instance().deadlinesNanos.stream().mapToLong(TimeUnit.NANOSECONDS::toMillis)
+                .map(ms -> Math.min(LONGEST_DEADLINE_MS, ms)).max().orElse(0);
+        long answeredMs = KILL_AFTER_MS + longestMs - ANSWERED_BEFORE_MS;
+        Log.line("draining, " + table.owed() + " requests in hand");
+        clients.drain(clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(answeredMs));
+        loop.schedule(this::closeServers, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> clients.endConnections(drained::countDown),
+                Math.max(ACCEPT_ON_MS, answeredMs - ASKED_BEFORE_MS), TimeUnit.MILLISECONDS);
+        return longestMs;
     }
 }
--- a/proxy/src/main/java/burlarch/proxy/RequestHandler.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestHandler.java
@@ -26,7 +26,8 @@
     /**
      * The request is the caller's and holds only for the call. The reply may be made within it.
      *
+     * @param readNanos when it was read: its time runs from there, not from its turn behind another
      * @return gives the request up, for a client that leaves before the reply
      */
-    Runnable handle(FullHttpRequest request, Reply reply) throws Rejection;
+    Runnable handle(FullHttpRequest request, long readNanos, Reply reply) throws Rejection;
 }
--- a/proxy/src/main/java/burlarch/proxy/RequestReader.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestReader.java
@@ -26,8 +26,6 @@
     private final ProxyClock clock;
     private final Instance instance;
     private final LongSupplier lag;
-    /** The longest time that a client has given a request. */
-    private long longestTimeoutNanos;
     /** When every request has to be answered, at the end of a drain. */
     private long endNanos = Long.MAX_VALUE;
 
@@ -37,10 +35,6 @@
         this.lag = lag;
     }
 
-    long longestTimeoutNanos() {
-        return longestTimeoutNanos;
-    }
-
     void endAt(long nanos) {
         endNanos = nanos;
     }
@@ -60,7 +54,8 @@
         }
     }
 
-    public RequestTable.Arrival arrival(FullHttpRequest request) throws Rejection {
+    /** @param readNanos when it was read: its time runs from there */
+    public RequestTable.Arrival arrival(FullHttpRequest request, long readNanos) throws Rejection {
         String path = path(request.uri());
         int classEnd = path.indexOf('/', 1);
         String className = !path.startsWith("/") ? ""
@@ -92,9 +87,8 @@
         // Nobody waits longer than the class's deadline, whatever a client says.
         long timeoutNanos = Math.min(TimeUnit.MILLISECONDS.toNanos(timeoutMs),
                 instance.deadlinesNanos.get(requestClass));
-        longestTimeoutNanos = Math.max(longestTimeoutNanos, timeoutNanos);
         // A loop that is behind has read the request late, and will be late with the answer.
-        long deadlineNanos = Math.min(endNanos, clock.nowNanos() + timeoutNanos
+        long deadlineNanos = Math.min(endNanos, readNanos + timeoutNanos
                 - Math.min(DEADLINE_MARGIN_NANOS + 2 * lag.getAsLong(), timeoutNanos / 2));
         return new RequestTable.Arrival(requestClass,
                 Instance.number(instance.tenants, tenant), !key.isEmpty(),
--- a/proxy/src/main/java/burlarch/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -111,7 +111,6 @@
     private final List<Observer> observers = new ArrayList<>(0);
     private long lastId;
     private int owed;
-    private Runnable whenEmpty;
 
     RequestTable(EventLoop loop, ProxyClock clock, NodePool nodes, Json settings, long seed) {
         this.loop = loop;
@@ -143,19 +142,6 @@
         return clientIds.holds(clientId, clock.nowNanos());
     }
 
-    /** Runs once when no request is owed an answer. */
-    void whenEmpty(Runnable action) {
-        whenEmpty = action;
-        checkEmpty();
-    }
-
-    private void checkEmpty() {
-        if (owed == 0 && whenEmpty != null) {
-            whenEmpty.run();
-            whenEmpty = null;
-        }
-    }
-
     // ---- into the module
 
     /** Hands the module an event at the current time, after those that wait. */
@@ -236,7 +222,6 @@
         owed--;
         observers.forEach(observer -> observer.answered(open.requestClass));
         how.run();
-        checkEmpty();
         // What has not gone out yet may not do so later: nobody waits for it.
         open.attempts.forEach(attempt -> {
             if (attempt != null) {
--- a/proxy/src/main/java/burlarch/proxy/SingleRequests.java
+++ b/proxy/src/main/java/burlarch/proxy/SingleRequests.java
@@ -23,8 +23,8 @@
     }
 
     @Override
-    public Runnable handle(FullHttpRequest request, Reply reply) throws Rejection {
-        RequestTable.Arrival arrival = reader.arrival(request);
+    public Runnable handle(FullHttpRequest request, long readNanos, Reply reply) throws Rejection {
+        RequestTable.Arrival arrival = reader.arrival(request, readNanos);
         if (table.isOpen(arrival.upstream().requestId())) {
             throw new Rejection(HttpResponseStatus.CONFLICT);
         }
--- a/proxy/src/main/java/burlarch/proxy/multiget/MultiGet.java
+++ b/proxy/src/main/java/burlarch/proxy/multiget/MultiGet.java
@@ -40,9 +40,6 @@
     private final RequestTable table;
     private final int maxKeys;
     private final AnswerBytes bytes;
-    /** Answers on their way to a client. */
-    private int unwritten;
-    private Runnable whenWritten;
 
     public MultiGet(EventLoop loop, RequestReader reader, RequestTable table, int maxKeys) {
         this(loop, reader, table, maxKeys, new AnswerBytes(HELD_MOST_BYTES));
@@ -63,7 +60,7 @@
 
     /** Reads every line before the first goes out: a body that is wrong somewhere has had no effect. */
     @Override
-    public Runnable handle(FullHttpRequest request, Reply reply) throws Rejection {
+    public Runnable handle(FullHttpRequest request, long readNanos, Reply reply) throws Rejection {
         if (!request.uri().equals(PATH)) {
             throw new Rejection(HttpResponseStatus.NOT_FOUND);
         }
@@ -75,7 +72,7 @@
             if (table.isOpen(line.id())) {
                 throw new Rejection(HttpResponseStatus.BAD_REQUEST);
             }
-            arrivals.add(reader.arrival(single(request, line)));
+            arrivals.add(reader.arrival(single(request, line), readNanos));
         }
         Batch batch = new Batch(arrivals, bytes, reader::timeIsUp, whole -> answer(whole, reply));
         batch.send(table);
@@ -106,28 +103,12 @@
             headers.set(HttpHeaderNames.RETRY_AFTER,
                     Headers.seconds(batch.retryAfterNanos()));
         }
-        unwritten++;
         ChannelFuture written = reply.answer(headers, batch.answer());
         Future<?> limit = loop.schedule(() -> written.channel().close(),
                 WRITE_MOST_MS, TimeUnit.MILLISECONDS);
         written.addListener(f -> {
             limit.cancel(false);
             batch.release();
-            unwritten--;
-            checkWritten();
         });
     }
-
-    /** Runs once when no answer is on its way. */
-    public void whenWritten(Runnable action) {
-        whenWritten = action;
-        checkWritten();
-    }
-
-    private void checkWritten() {
-        if (unwritten == 0 && whenWritten != null) {
-            whenWritten.run();
-            whenWritten = null;
-        }
-    }
 }
--- a/proxy/src/main/java/burlarch/proxy/tls/NamedRequests.java
+++ b/proxy/src/main/java/burlarch/proxy/tls/NamedRequests.java
@@ -30,9 +30,9 @@
     }
 
     @Override
-    public Runnable handle(FullHttpRequest request, Reply reply) throws Rejection {
+    public Runnable handle(FullHttpRequest request, long readNanos, Reply reply) throws Rejection {
         String id = request.headers().get(Headers.REQUEST_ID);
-        Runnable leave = plain.handle(request, reply);
+        Runnable leave = plain.handle(request, readNanos, reply);
         if (subject == null) {
             subject = subject();
         }
--- a/proxy/src/test/java/burlarch/proxy/ClientConnectionsTest.java
+++ b/proxy/src/test/java/burlarch/proxy/ClientConnectionsTest.java
@@ -150,4 +150,21 @@
             assertEquals(42, readAll(socket).split("HTTP/1.1 200 OK").length);
         }
     }
+
+    /** Its client has waited since it was read, not since its turn came. */
+    @Test
+    void theTimeOfARequestBehindAnotherRunsFromWhenItWasRead() throws Exception {
+        try (Fixture f = new Fixture(); Socket socket = connect(f)) {
+            write(socket, BadInputTest.request("GET", "/look/k", "")
+                    + BadInputTest.request("GET", "/look/l", "", "X-Timeout-Ms: 100", "Connection: close"));
+            FakeServer.Received asked = f.cache.next();
+            // Only ever longer than meant, which changes nothing.
+            Thread.sleep(150);
+            f.cache.answerWith("200 OK", "late");
+            asked.answer("200 OK", "v");
+            String answers = readAll(socket);
+            assertTrue(answers.startsWith("HTTP/1.1 200 OK"), answers);
+            assertTrue(answers.contains("vHTTP/1.1 429 "), answers);
+        }
+    }
 }
--- /dev/null
+++ b/proxy/src/test/java/burlarch/proxy/ClientCrossingsTest.java
@@ -0,0 +1,293 @@
+package burlarch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import burlarch.decisions.Api.Limits;
+import burlarch.wire.Json;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What crosses at a client's connection, step by step: no step happens before the test says so. */
+@Timeout(60)
+class ClientCrossingsTest {
+    private static final long LONG_NANOS = TimeUnit.HOURS.toNanos(1);
+
+    private final List<String> begun = new ArrayList<>();
+    private final List<RequestHandler.Reply> open = new ArrayList<>();
+    private final List<String> left = new ArrayList<>();
+    private final Held held = new Held();
+    private EmbeddedChannel channel;
+    private ClientListener listener;
+
+    /** The client's socket: keeps what is written to it until it is let through. */
+    private static final class Held extends ChannelOutboundHandlerAdapter {
+        final ArrayDeque<ChannelPromise> promises = new ArrayDeque<>();
+        final StringBuilder written = new StringBuilder();
+        boolean holds;
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            ByteBuf bytes = (ByteBuf) message;
+            written.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+            if (holds) {
+                promises.add(promise);
+            } else {
+                promise.setSuccess();
+            }
+        }
+
+        void letThrough() {
+            holds = false;
+            for (ChannelPromise next = promises.poll(); next != null; next = promises.poll()) {
+                next.trySuccess();
+            }
+        }
+    }
+
+    private final class Handler implements RequestHandler {
+        @Override
+        public String allow() {
+            return "GET";
+        }
+
+        @Override
+        public Runnable handle(FullHttpRequest request, long readNanos, Reply reply) {
+            begun.add(request.uri());
+            open.add(reply);
+            String uri = request.uri();
+            return () -> left.add(uri);
+        }
+    }
+
+    @BeforeEach
+    void connect() {
+        channel = new EmbeddedChannel(held);
+        EventLoop loop = channel.eventLoop();
+        ProxyClock clock = new ProxyClock();
+        NodePool pool = new NodePool(loop, clock, new Limits(1, false, false, true, 0, LONG_NANOS, LONG_NANOS),
+                8);
+        RequestTable table = new RequestTable(loop, clock, pool, settings(), 7);
+        listener = new ClientListener(loop, clock, table, () -> true, () -> 0, 8);
+        listener.install(channel, (Channel c) -> new Handler());
+    }
+
+    private static Json settings() {
+        try {
+            return Fixture.settings();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The turn of the loop after which a drain ends what carries nothing. */
+    private void aTurnPasses() {
+        channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    private void asks(String... keys) {
+        StringBuilder text = new StringBuilder();
+        for (String key : keys) {
+            text.append("GET /look/").append(key).append(" HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private int answers() {
+        return held.written.toString().split("HTTP/1.1 ", -1).length - 1;
+    }
+
+    /** Else a client that does not read has its answers pile up here. */
+    @Test
+    void theNextRequestBeginsWhenTheAnswerBeforeItIsOut() {
+        asks("a", "b");
+        held.holds = true;
+        open.get(0).served(new byte[] {'v'}, null);
+        channel.runPendingTasks();
+        assertEquals(List.of("/look/a"), begun);
+        held.letThrough();
+        channel.runPendingTasks();
+        assertEquals(List.of("/look/a", "/look/b"), begun);
+    }
+
+    @Test
+    void aClientThatLeavesBeforeItsAnswerIsOutHasNoFurtherRequestBegun() {
+        asks("a", "b", "c");
+        held.holds = true;
+        open.get(0).served(new byte[] {'v'}, null);
+        channel.close();
+        held.letThrough();
+        channel.runPendingTasks();
+        assertEquals(List.of("/look/a"), begun);
+        assertTrue(left.isEmpty(), "it has had its answer");
+    }
+
+    @Test
+    void aClientThatLeavesWhileItsRequestIsOutGivesThatUpAndTheNextIsNotBegun() {
+        asks("a", "b");
+        channel.close();
+        channel.runPendingTasks();
+        assertEquals(List.of("/look/a"), begun);
+        assertEquals(List.of("/look/a"), left);
+    }
+
+    /** With so many ahead no more is read, so that the client's end is not seen any more. */
+    @Test
+    void whatWaitedLongWhileNoMoreIsReadIsRefusedAndNotBegun() throws Exception {
+        String[] keys = new String[70];
+        for (int i = 0; i < keys.length; i++) {
+            keys[i] = "k" + i;
+        }
+        asks(keys);
+        assertFalse(channel.config().isAutoRead());
+        // Long enough for any machine: it only has to be longer than what is waited for without reading.
+        Thread.sleep(400);
+        open.get(0).served(new byte[] {'v'}, null);
+        channel.runPendingTasks();
+        assertEquals(List.of("/look/k0"), begun);
+        assertEquals(70, answers());
+        assertEquals(70, held.written.toString().split("HTTP/1.1 429 ", -1).length);
+        assertTrue(channel.config().isAutoRead());
+    }
+
+    /** Its client sent it before it could know of the end: it was read and is owed its answer. */
+    @Test
+    void atTheEndOfADrainWhatWaitsBehindAnotherIsAnsweredToo() throws Exception {
+        asks("a", "b");
+        listener.endConnections(() -> left.add("ended"));
+        aTurnPasses();
+        open.get(0).served(new byte[] {'v'}, null);
+        channel.runPendingTasks();
+        assertEquals(List.of("/look/a", "/look/b"), begun);
+        assertTrue(left.isEmpty());
+        open.get(1).served(new byte[] {'w'}, null);
+        channel.runPendingTasks();
+        assertEquals(2, answers());
+        assertEquals(2, held.written.toString().split("connection: close", -1).length);
+        assertFalse(channel.isActive());
+        assertEquals(List.of("ended"), left);
+    }
+
+    /** Handed over is not out: the loop must not end before. */
+    @Test
+    void aDrainEndsOnceTheLastAnswerIsOut() {
+        asks("a");
+        listener.endConnections(() -> left.add("ended"));
+        aTurnPasses();
+        held.holds = true;
+        open.get(0).served(new byte[] {'v'}, null);
+        channel.runPendingTasks();
+        assertTrue(left.isEmpty());
+        held.letThrough();
+        channel.runPendingTasks();
+        assertEquals(List.of("ended"), left);
+    }
+
+    /** A request that is half read when the drain ends is answered when its rest has come. */
+    @Test
+    void aDrainWaitsForWhatIsHalfRead() {
+        channel.writeInbound(Unpooled.copiedBuffer("GET /look/a HTTP/1.1\r\nHo", StandardCharsets.US_ASCII));
+        listener.endConnections(() -> left.add("ended"));
+        aTurnPasses();
+        channel.writeInbound(Unpooled.copiedBuffer("st: x\r\n\r\n", StandardCharsets.US_ASCII));
+        assertEquals(List.of("/look/a"), begun);
+        open.get(0).served(new byte[] {'v'}, null);
+        channel.runPendingTasks();
+        assertEquals(1, answers());
+        assertEquals(List.of("ended"), left);
+    }
+
+    /** It lay in the socket when the drain ended what carries nothing. */
+    @Test
+    void aRequestThatIsReadInTheLastTurnIsAnswered() {
+        asks("a");
+        open.get(0).served(new byte[] {'v'}, null);
+        listener.endConnections(() -> left.add("ended"));
+        asks("b");
+        aTurnPasses();
+        assertEquals(List.of("/look/a", "/look/b"), begun);
+        open.get(1).served(new byte[] {'w'}, null);
+        channel.runPendingTasks();
+        assertEquals(2, answers());
+        assertEquals(List.of("ended"), left);
+    }
+
+    @Test
+    void aDrainEndsConnectionsThatCarryNothing() {
+        listener.endConnections(() -> left.add("ended"));
+        assertTrue(channel.isActive());
+        aTurnPasses();
+        assertFalse(channel.isActive());
+        assertEquals(List.of("ended"), left);
+    }
+
+    /** Their requests are written to a connection that this machine has taken. */
+    @Test
+    void connectionsInTheBacklogAreTakenBeforeTheListenerCloses() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        List<Socket> clients = new ArrayList<>();
+        try {
+            EventLoop loop = group.next();
+            ProxyClock clock = new ProxyClock();
+            CompletableFuture<Channel> bound = new CompletableFuture<>();
+            ClientListener real = loop.submit(() -> {
+                NodePool pool = new NodePool(loop, clock, new Limits(1, false, false, true, 0, LONG_NANOS,
+                        LONG_NANOS), 8);
+                RequestTable table = new RequestTable(loop, clock, pool, settings(), 7);
+                ClientListener made = new ClientListener(loop, clock, table, () -> true, () -> 0, 100);
+                ChannelFuture binding = made.bind(new InetSocketAddress("127.0.0.1", 0),
+                        accepted -> new Handler());
+                binding.addListener(f -> bound.complete(binding.channel()));
+                return made;
+            }).get();
+            int port = ((InetSocketAddress) bound.get().localAddress()).getPort();
+            loop.submit(() -> {
+                // The loop is behind meanwhile: all of these wait in the backlog when it closes the listener.
+                for (int i = 0; i < 60; i++) {
+                    clients.add(new Socket("127.0.0.1", port));
+                    clients.get(i).getOutputStream().write(("GET /_health HTTP/1.1\r\nHost: x\r\n"
+                            + "Connection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                }
+                real.closeServer();
+                return null;
+            }).get();
+            for (Socket client : clients) {
+                assertTrue(new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                        .startsWith("HTTP/1.1 200 "));
+            }
+            bound.get().closeFuture().sync();
+        } finally {
+            for (Socket client : clients) {
+                client.close();
+            }
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+}
