--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -89,6 +89,8 @@
     private final AtomicInteger reloads = new AtomicInteger();
     /** The number of the last that was carried out. */
     private int lastReload;
+    /** Where that one found discovery; null before it. One that comes before the watch counts for its start. */
+    private InetSocketAddress reloadedDiscovery;
 
     /** Loads what the features need from files, on the caller's thread. */
     ProxyMain(Features features) throws SettingsException {
@@ -206,7 +208,8 @@
         if (traceSink != null) {
             record();
         }
-        watch = new MembershipWatch(loop, clock, config.discovery(), table, nodes);
+        watch = new MembershipWatch(loop, clock,
+                reloadedDiscovery == null ? config.discovery() : reloadedDiscovery, table, nodes);
         if (features.status().port() != null) {
             StatusBoard board = new StatusBoard(StatusPage.version(), classNames(), clock::nowNanos,
                     System::currentTimeMillis);
@@ -304,10 +307,13 @@
         try {
             ProxyConfig config = ProxyConfig.load(environment);
             loop.execute(() -> {
-                if (number > lastReload && watch != null) {
+                if (number > lastReload) {
                     lastReload = number;
                     Log.line("configuration read again, discovery at " + config.discovery());
-                    watch.move(config.discovery());
+                    reloadedDiscovery = config.discovery();
+                    if (watch != null) {
+                        watch.move(reloadedDiscovery);
+                    }
                 }
             });
         } catch (ProxyConfig.ConfigException e) {
--- a/proxy/src/test/java/burlarch/proxy/ReloadTest.java
+++ b/proxy/src/test/java/burlarch/proxy/ReloadTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.settings.Addresses;
+import java.net.InetSocketAddress;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -118,4 +120,19 @@
             assertFalse(drain.isAlive());
         }
     }
+
+    /** A start takes a while: what SIGHUP names meanwhile counts for the first watch. */
+    @Test
+    void aReloadBeforeTheStartIsOverIsNotForgotten() throws Exception {
+        try (FakeServer old = new FakeServer(); FakeServer next = new FakeServer()) {
+            ProxyMain main = new ProxyMain(Features.none());
+            main.reload(config(next.hostPort()));
+            main.start(new ProxyConfig("n0", new InetSocketAddress("127.0.0.1", 0),
+                    Addresses.parse(old.hostPort()), 7, Fixture.SOCKETS, Fixture.json("{}"),
+                    Fixture.settings()));
+            assertEquals("/catalog/members?stream=1", next.next().uri.replaceAll("&index=.*", ""));
+            assertTrue(old.nothingAsked());
+            main.stop();
+        }
+    }
 }
