--- a/decisions/src/main/java/burlarch/decisions/Api.java
+++ b/decisions/src/main/java/burlarch/decisions/Api.java
@@ -62,8 +62,9 @@
     public record Charges(double handshake, double connection) {
     }
 
-    /** The figures of the rules. */
-    public record Obligations(double coldFrom, long coldNanos, double fallMultiple, long fallNanos) {
+    /** The figures of the rules; {@code mustAskNanos} is how long one without a watch may go without asking. */
+    public record Obligations(double coldFrom, long coldNanos, double fallMultiple, long fallNanos,
+            long mustAskNanos) {
     }
 
     /** Everything an instance knows at start. */
--- a/decisions/src/main/java/burlarch/decisions/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -132,7 +132,9 @@
             watchRetryNanos = WATCH_RETRY_NANOS;
         } else if (settings.asksForList()) {
             actions.timer((long) (watchRetryNanos * (0.5 + random.nextDouble())), WATCH);
-            watchRetryNanos = Math.min(WATCH_RETRY_MOST_NANOS, watchRetryNanos * 2);
+            // Within the time that an old list may be held to, also where the next turn's jitter is longest.
+            watchRetryNanos = Math.min(Math.min(WATCH_RETRY_MOST_NANOS,
+                    settings.obligations().mustAskNanos() / 2), watchRetryNanos * 2);
         }
     }
 
@@ -425,11 +427,15 @@
         return true;
     }
 
-    /** No double effect: what may have run is repeated only where and while its repeats are dropped. */
+    /**
+     * No double effect: what may have run is repeated only where and while its repeats are dropped. A repeat
+     * may wait for a connection first, so that it goes out later than now by that much.
+     */
     private boolean effectAllows(Pending p, Node node, long nowNanos) {
+        long outByNanos = nowNanos + settings.limits().connectTimeoutNanos();
         return p.repeat() == Repeat.PURE || p.attempts.stream().filter(Attempt::mayHaveRun).allMatch(a ->
                 p.repeat() == Repeat.TOKEN && sameGroup(p.kind.scope(), a.node.entry, node.entry)
-                && nowNanos - a.sentNanos < p.kind.memorySpanNanos() - settings.quantumNanos());
+                && outByNanos - a.sentNanos < p.kind.memorySpanNanos() - settings.quantumNanos());
     }
 
     private static boolean sameGroup(Scope scope, Server a, Server b) {
--- a/proxy/src/main/java/burlarch/wire/Instance.java
+++ b/proxy/src/main/java/burlarch/wire/Instance.java
@@ -65,7 +65,8 @@
                 new Obligations(rules.get("cold_from").number(0.1),
                         rules.get("cold_ns").integer(30 * SECOND_NANOS),
                         rules.get("fall_multiple").number(2),
-                        Math.max(1, rules.get("fall_ns").integer(SECOND_NANOS))),
+                        Math.max(1, rules.get("fall_ns").integer(SECOND_NANOS)),
+                        Math.max(2, rules.get("must_ask_in_ns").integer(10 * SECOND_NANOS))),
                 config.get("request_classes").items().stream().map(Instance::requestClass).toList(),
                 config.get("tenants").items().stream().map(Instance::tenant).toList());
     }
