--- a/decisions/src/main/java/burlarch/decisions/Api.java
+++ b/decisions/src/main/java/burlarch/decisions/Api.java
@@ -62,7 +62,7 @@
     public record Charges(double handshake, double connection) {
     }
 
-    /** The figures of the rules; {@code mustAskNanos} is how long one without a watch may go without asking. */
+    /** The figures of the rules; {@code mustAskNanos}: how long one without a watch may go without asking. */
     public record Obligations(double coldFrom, long coldNanos, double fallMultiple, long fallNanos,
             long mustAskNanos) {
     }
--- a/decisions/src/main/java/burlarch/decisions/CallGapping.java
+++ b/decisions/src/main/java/burlarch/decisions/CallGapping.java
@@ -66,6 +66,14 @@
         return true;
     }
 
+    /** Takes back an admitted offer of so long ago, of which nothing went out. */
+    void withdraw(int i, double capacity, double window, double agoSeconds) {
+        int tenant = i >= 0 && i < share.length - 1 ? i : share.length - 1;
+        double timeConstant = window / capacity;
+        double left = advance(1 / timeConstant, 0, agoSeconds, timeConstant);
+        admitted[tenant] = Math.max(0, admitted[tenant] - left);
+    }
+
     /**
      * g_i. Where all offers fit in c, or this tenant is within its share, the formula's min is the offered
      * rate. It is said outright: rounding, or a split above one, would refuse it. It settles ρ = u.
--- a/decisions/src/main/java/burlarch/decisions/LearnedCapacity.java
+++ b/decisions/src/main/java/burlarch/decisions/LearnedCapacity.java
@@ -49,6 +49,11 @@
         return admitted;
     }
 
+    /** An admitted offer of so long ago was not sent after all. */
+    void withdraw(int tenant, double window, long agoNanos) {
+        throttle.withdraw(tenant, perSecond, window, agoNanos * 1e-9);
+    }
+
     void throttleBinds(long nowNanos) {
         boundUntilNanos = nowNanos + (long) (batch / perSecond * 1e9);
     }
--- a/decisions/src/main/java/burlarch/decisions/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -91,6 +91,8 @@
     private final long shortestAimNanos;
     private final double mostWorth;
     private final Map<Long, Pending> pending = new HashMap<>();
+    /** Requests that have had their final answer and have attempts out. */
+    private final Map<Long, Pending> over = new HashMap<>();
     /** Keys with a fetch out from here, and the requests that wait for it. */
     private final Map<Long, ArrayDeque<Pending>> fetches = new HashMap<>();
     private final double retryMost;
@@ -176,6 +178,12 @@
                     : ended.outcome();
             learn(node, ended, told, attempt != null && attempt.connects, p == null ? 1 : p.cost, nowNanos);
         }
+        if (ended.outcome() == Outcome.NOP) {
+            withdraw(p != null ? p : over.get(ended.request()), ended, node, nowNanos);
+        }
+        if (p == null) {
+            over.computeIfPresent(ended.request(), (id, done) -> --done.out > 0 ? done : null);
+        }
         pool.closeIdle(nowNanos);
         if (attempt == null || attempt.ended != null) {
             return;
@@ -214,6 +222,19 @@
         }
     }
 
+    /** An attempt that never went out is charged to nobody: not to the node, the gates or its tenant. */
+    private void withdraw(Pending p, Ended ended, Node node, long nowNanos) {
+        if (p == null || node == null || ended.attempt() < 0 || ended.attempt() >= p.attempts.size()) {
+            return;
+        }
+        long agoNanos = nowNanos - p.attempts.get(ended.attempt()).sentNanos;
+        pool.onWithdrawn(node, p.cost, agoNanos);
+        node.capacity.withdraw(p.request.tenant(), window(p), agoNanos);
+        if (ended.attempt() == 0 && !pool.isOrigin(node)) {
+            tier.withdraw(p.request.tenant(), window(p), agoNanos);
+        }
+    }
+
     /** The client has left: nothing is owed any more. */
     public void onGone(long nowNanos, long id) {
         Pending p = pending.get(id);
@@ -350,9 +371,12 @@
     }
 
     private boolean offer(LearnedCapacity gate, Pending p, long nowNanos) {
+        return gate.offer(p.request.tenant(), window(p), nowNanos);
+    }
+
+    private double window(Pending p) {
         double worthPart = p.kind != null && mostWorth > 0 ? p.kind.worth() / mostWorth : 1;
-        double window = WINDOW_LEAST + (WINDOW_BEST - WINDOW_LEAST) * Math.min(1, Math.max(0, worthPart));
-        return gate.offer(p.request.tenant(), window, nowNanos);
+        return WINDOW_LEAST + (WINDOW_BEST - WINDOW_LEAST) * Math.min(1, Math.max(0, worthPart));
     }
 
     private void learn(Node node, Ended ended, Outcome outcome, boolean connects, double cost,
@@ -468,6 +492,9 @@
         p.done = true;
         p.waiting = false;
         pending.remove(p.request.id());
+        if (p.out > 0) {
+            over.put(p.request.id(), p);
+        }
         if (p.out > 0 && settings.limits().cancel()) {
             for (int i = 0; i < p.attempts.size(); i++) {
                 if (p.attempts.get(i).ended == null) {
--- a/decisions/src/test/java/burlarch/decisions/PolicyTest.java
+++ b/decisions/src/test/java/burlarch/decisions/PolicyTest.java
@@ -287,6 +287,44 @@
         assertEquals(1, actions.count("refuse " + late));
     }
 
+    /** Their clients left while they waited for a connection: the origin has had nothing of them. */
+    @Test
+    void whatNeverWentOutIsNotChargedToTheThrottle() {
+        int admitted = 0;
+        while (actions.count("refuse") == 0) {
+            admitted++;
+            ask(ORDER, admitted, true);
+        }
+        startWithFourCaches();
+        actions.take();
+        for (int i = 0; i < admitted + 20; i++) {
+            long id = ask(ORDER, i, true);
+            policy.onGone(now, id);
+            ends(id, 0, ORIGIN, Outcome.NOP, 0);
+        }
+        assertEquals(0, actions.count("refuse"));
+    }
+
+    /** A cold cache's budget holds one request for now: one that never went out leaves it whole. */
+    @Test
+    void whatNeverWentOutIsNotChargedToAColdCache() {
+        policy.onList(now, ListKind.REPLACE, List.of(origin(), cache(1, Stage.IN, now)));
+        long sent = -1;
+        for (int i = 0; i < 100 && sent < 0; i++) {
+            long id = read(i);
+            sent = actions.lastServer == 1 ? id : -1;
+        }
+        policy.onGone(now, sent);
+        ends(sent, 0, 1, Outcome.NOP, 0);
+        actions.take();
+        boolean again = false;
+        for (int i = 0; i < 100 && !again; i++) {
+            read(1000 + i);
+            again = actions.lastServer == 1;
+        }
+        assertTrue(again);
+    }
+
     @Test
     void silentCacheIsDoubtedAndItsReadGetsASecondCopy() {
         long hung = 0;
--- a/proxy/src/main/java/burlarch/proxy/ClientConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientConnection.java
@@ -23,7 +23,7 @@
 final class ClientConnection extends SimpleChannelInboundHandler<Object> implements RequestHandler.Reply {
     /** Requests that may have been sent ahead of their answers before no more is read. */
     private static final int AHEAD_MOST = 64;
-    /** While no more is read a client's end is not seen: what has waited so long since is not begun any more. */
+    /** While no more is read a client's end is not seen: what has waited so long is not begun any more. */
     private static final long UNSEEN_MOST_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** How long a client may take to read its answer. */
     private static final long WRITE_MOST_NANOS = TimeUnit.SECONDS.toNanos(5);
@@ -220,7 +220,7 @@
         return response;
     }
 
-    /** What was read is owed an answer: at the end of a drain too the last one's alone ends the connection. */
+    /** What was read is owed an answer: at the end of a drain only the last one's ends the connection. */
     private boolean last() {
         return !keepAlive || listener.ending() && ahead.isEmpty();
     }
--- a/proxy/src/main/java/burlarch/proxy/EntryFramer.java
+++ b/proxy/src/main/java/burlarch/proxy/EntryFramer.java
@@ -5,8 +5,8 @@
 
 /**
  * Cuts discovery's stream into its objects. Each stands on a line of its own or, indented, on several; braces
- * outside of strings tell where it ends, so that it counts with its last byte. An object that its sender broke
- * off is given up at the next list that stands whole on its line.
+ * outside of strings tell where it ends, so that it counts with its last byte. An object that was broken off
+ * is given up at the next list that stands whole on its line.
  */
 final class EntryFramer {
     /** What the stream holds, in its order. */
--- a/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
+++ b/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
@@ -62,8 +62,8 @@
     /** What a call may take until it is answered: calls are worked through in turn. */
     private static final long ANSWER_NANOS = TimeUnit.SECONDS.toNanos(5);
     /**
-     * Discovery writes a line every 2 s; TCP does not tell of one that has vanished. What a silent watch misses
-     * counts as told 6 s after it fell silent: half of that is left for the backoff and for a new watch.
+     * Discovery writes a line every 2 s; TCP does not tell of one that has vanished. What a silent watch
+     * misses counts as told 6 s after it fell silent: half of that is left for the backoff and a new watch.
      */
     private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** A turn of the loop: what came while it was behind lies unread when the timer is due. */
--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -89,7 +89,7 @@
     private final AtomicInteger reloads = new AtomicInteger();
     /** The number of the last that was carried out. */
     private int lastReload;
-    /** Where that one found discovery; null before it. One that comes before the watch counts for its start. */
+    /** Where that one found discovery, also for a watch that is yet to be made; null before it. */
     private InetSocketAddress reloadedDiscovery;
 
     /** Loads what the features need from files, on the caller's thread. */
@@ -386,7 +386,7 @@
         }
     }
 
-    /** @return the longest time of a request in milliseconds; -1 where no port is bound and nothing is owed */
+    /** @return the longest time of a request in milliseconds; -1 where no port is bound: nothing is owed */
     private long beginDrain(CountDownLatch drained) {
         if (!ready) {
             return -1;
--- a/proxy/src/test/java/burlarch/proxy/ClientLeavesTest.java
+++ b/proxy/src/test/java/burlarch/proxy/ClientLeavesTest.java
@@ -21,8 +21,8 @@
     private static final String LOOK = "/look/left";
 
     /**
-     * The connect to the only cache hangs until the client has gone and comes up then: what the node gets first
-     * has to be another client's. The settings allow no attempt to be called off.
+     * The connect to the only cache hangs until the client has gone and comes up then: what the node gets
+     * first has to be another client's. The settings allow no attempt to be called off.
      */
     @Test
     void whileItWaitsForAConnectionInWhateverWay() throws Exception {
