--- a/proxy/src/main/java/burlarch/proxy/RequestReader.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestReader.java
@@ -98,6 +98,13 @@
                         ByteBufUtil.getBytes(request.content())), (int) timeoutMs);
     }
 
+    /** Whether the settings have a class of that name whose requests may be repeated freely. */
+    public boolean isPure(String className) {
+        int requestClass = Instance.number(instance.classes, className);
+        return requestClass >= 0
+                && instance.settings.classes().get(requestClass).repeat() == Repeat.PURE;
+    }
+
     /** Whether the request's time is over for the module, which ends it a quantum before its deadline. */
     public boolean timeIsUp(RequestTable.Arrival arrival) {
         return clock.nowNanos() >= arrival.deadlineNanos() - instance.settings.quantumNanos();
--- a/proxy/src/main/java/burlarch/proxy/multiget/MultiGet.java
+++ b/proxy/src/main/java/burlarch/proxy/multiget/MultiGet.java
@@ -28,8 +28,8 @@
  * its own id and within the time that the client gave for all of them.
  */
 public final class MultiGet implements RequestHandler {
-    private static final String CLASS = "account-read";
-    private static final String PATH = "/multi/" + CLASS;
+    /** The class of all lines follows: one of the settings' that may be repeated freely. */
+    private static final String PATH = "/multi/";
     private static final AsciiString PARTIAL = AsciiString.cached("X-Partial");
     private static final int HELD_MOST_BYTES = 4 << 20;
     /** A client that does not read its answer holds memory that other multi-gets lack. */
@@ -61,7 +61,8 @@
     /** Reads every line before the first goes out: a body that is wrong somewhere has had no effect. */
     @Override
     public Runnable handle(FullHttpRequest request, long readNanos, Reply reply) throws Rejection {
-        if (!request.uri().equals(PATH)) {
+        String requestClass = request.uri().startsWith(PATH) ? request.uri().substring(PATH.length()) : "";
+        if (!reader.isPure(requestClass)) {
             throw new Rejection(HttpResponseStatus.NOT_FOUND);
         }
         if (!request.method().equals(HttpMethod.POST)) {
@@ -72,7 +73,7 @@
             if (table.isOpen(line.id())) {
                 throw new Rejection(HttpResponseStatus.BAD_REQUEST);
             }
-            arrivals.add(reader.arrival(single(request, line), readNanos));
+            arrivals.add(reader.arrival(single(request, requestClass, line), readNanos));
         }
         Batch batch = new Batch(arrivals, bytes, reader::timeIsUp, whole -> answer(whole, reply));
         batch.send(table);
@@ -80,9 +81,9 @@
     }
 
     /** The line as its client would have sent it alone. */
-    private static FullHttpRequest single(FullHttpRequest request, Line line) {
+    private static FullHttpRequest single(FullHttpRequest request, String requestClass, Line line) {
         FullHttpRequest single = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                "/" + CLASS + "/" + line.key());
+                "/" + requestClass + "/" + line.key());
         single.headers().set(Headers.REQUEST_ID, line.id());
         for (AsciiString name : List.of(Headers.TENANT, Headers.TIMEOUT_MS)) {
             String value = request.headers().get(name);
