--- a/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
+++ b/proxy/src/main/java/burlarch/proxy/MembershipWatch.java
@@ -58,7 +58,8 @@
 
     private static final int LONGEST_LIST = 4 << 20;
     private static final int CONNECT_MS = 2000;
-    private static final long AGENT_RETRY_MS = 500;
+    /** What the agent has counts as told while no watch is open; well within the rule's 750 ms. */
+    private static final long AGENT_RETRY_MS = 200;
     /** What a call may take until it is answered: calls are worked through in turn. */
     private static final long ANSWER_NANOS = TimeUnit.SECONDS.toNanos(5);
     /**
@@ -82,6 +83,8 @@
     private boolean closed;
     /** Null where nobody is to be told. */
     private Observer observer;
+    /** Runs once, with the first list that a watch brings. */
+    private Runnable whenListed = () -> { };
 
     MembershipWatch(EventLoop loop, ProxyClock clock, InetSocketAddress discovery, RequestTable table,
             NodePool nodes) {
@@ -97,6 +100,10 @@
         observer = other;
     }
 
+    void whenListed(Runnable action) {
+        whenListed = action;
+    }
+
     /** Takes the list that the configuration brought. */
     void restore(Json known) {
         if (known.isObject()) {
@@ -201,6 +208,9 @@
         try {
             Json list = Json.parse(text.getBytes(StandardCharsets.UTF_8));
             apply(list, list.get("reset").flag(false) ? ListKind.REPLACE : ListKind.UPDATE);
+            Runnable action = whenListed;
+            whenListed = () -> { };
+            action.run();
         } catch (IOException | RuntimeException e) {
             skipped(String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -47,6 +48,8 @@
     /** Before that: the last answers are out, and before these the last requests are in. */
     private static final long ANSWERED_BEFORE_MS = 120;
     private static final long ASKED_BEFORE_MS = 150;
+    /** How long a start waits for the agent's list: one that says nothing has nothing to tell. */
+    private static final long FIRST_LIST_MS = 2000;
     /** What the log's thread may take for its last lines. */
     private static final long FLUSH_MS = 100;
     /** As Linux counts them. */
@@ -231,6 +234,29 @@
         clients = new ClientListener(loop, clock, table, () -> ready, lag::nanos, shares.clients());
         io.netty.util.concurrent.Promise<SocketAddress> bound = loop.newPromise();
         SingleRequests plain = new SingleRequests(clients.reader(), table, gate);
+        if (table.instance().settings.asksForList()) {
+            bind(config, plain, bound);
+        } else {
+            bindWhenListed(config, plain, bound);
+        }
+        return bound;
+    }
+
+    /** Where lists are pushed, what the agent has counts as told from a process's first moment. */
+    private void bindWhenListed(ProxyConfig config, RequestHandler plain,
+            io.netty.util.concurrent.Promise<SocketAddress> bound) {
+        AtomicBoolean begun = new AtomicBoolean();
+        Runnable once = () -> {
+            if (begun.compareAndSet(false, true)) {
+                bind(config, plain, bound);
+            }
+        };
+        watch.whenListed(once);
+        loop.schedule(once, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void bind(ProxyConfig config, RequestHandler plain,
+            io.netty.util.concurrent.Promise<SocketAddress> bound) {
         bindSidePorts(config.listen().getAddress(), plain, bound);
         clients.bind(config.listen(), channel -> plain).addListener((ChannelFuture f) -> {
             if (!f.isSuccess()) {
@@ -240,7 +266,6 @@
                 Log.line(config.name() + " serves on " + f.channel().localAddress());
             }
         });
-        return bound;
     }
 
     private void record() {
--- a/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/burlarch/proxy/DiscoveryTest.java
@@ -1,9 +1,16 @@
 package burlarch.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import burlarch.settings.Addresses;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -182,6 +189,37 @@
         }
     }
 
+    /** What the agent has counts as told from a process's first moment: the list comes before clients do. */
+    @Test
+    void whereListsArePushedAStartWaitsForTheFirst() throws Exception {
+        try (FakeServer agent = new FakeServer(); FakeServer drained = new FakeServer();
+                FakeServer ready = new FakeServer(); FakeServer origin = new FakeServer()) {
+            ready.answerWith("200 OK", "v");
+            ProxyMain main = new ProxyMain(Features.none());
+            String known = Fixture.list(40, true, List.of(Fixture.entry("c-1", drained, "cache", "SERVING"),
+                    Fixture.entry("o-1", origin, "origin", "SERVING")));
+            CompletableFuture<SocketAddress> start = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return main.start(new ProxyConfig("n0", new InetSocketAddress("127.0.0.1", 0),
+                            Addresses.parse(agent.hostPort()), 7, Fixture.SOCKETS, Fixture.json(known),
+                            Fixture.json(Fixture.SETTINGS.replace("on_request", "pushed"))));
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            FakeServer.Received watch = agent.next();
+            assertThrows(TimeoutException.class, () -> start.get(300, TimeUnit.MILLISECONDS));
+            watch.write(OPEN + chunk(Fixture.list(41, false, List.of(
+                    Fixture.entry("c-1", drained, "cache", "DRAINING"),
+                    Fixture.entry("c-2", ready, "cache", "SERVING"))) + "\n"));
+            InetSocketAddress address = (InetSocketAddress) start.get();
+            assertTrue(Fixture.raw(address, BadInputTest.request("GET", "/look/k", "", "Connection: close"))
+                    .startsWith("HTTP/1.1 200 "));
+            assertTrue(drained.nothingAsked());
+            main.stop();
+        }
+    }
+
     /** Both names have the same digest; each is a node of its own all the same. */
     @Test
     void idsNeverCollide() throws Exception {
