--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -416,8 +416,8 @@
         if (!ready) {
             return -1;
         }
-        long longestMs = table.instance().deadlinesNanos.stream().mapToLong(TimeUnit.NANOSECONDS::toMillis)
-                .map(ms -> Math.min(LONGEST_DEADLINE_MS, ms)).max().orElse(0);
+        long longestMs = Math.min(LONGEST_DEADLINE_MS,
+                TimeUnit.NANOSECONDS.toMillis(clients.reader().longestTimeoutNanos()));
         long answeredMs = KILL_AFTER_MS + longestMs - ANSWERED_BEFORE_MS;
         Log.line("draining, " + table.owed() + " requests in hand");
         clients.drain(clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(answeredMs));
--- a/proxy/src/main/java/burlarch/proxy/RequestReader.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestReader.java
@@ -26,6 +26,8 @@
     private final ProxyClock clock;
     private final Instance instance;
     private final LongSupplier lag;
+    /** The longest time that a client has given a request. */
+    private long longestTimeoutNanos;
     /** When every request has to be answered, at the end of a drain. */
     private long endNanos = Long.MAX_VALUE;
 
@@ -35,6 +37,10 @@
         this.lag = lag;
     }
 
+    long longestTimeoutNanos() {
+        return longestTimeoutNanos;
+    }
+
     void endAt(long nanos) {
         endNanos = nanos;
     }
@@ -87,6 +93,7 @@
         // Nobody waits longer than the class's deadline, whatever a client says.
         long timeoutNanos = Math.min(TimeUnit.MILLISECONDS.toNanos(timeoutMs),
                 instance.deadlinesNanos.get(requestClass));
+        longestTimeoutNanos = Math.max(longestTimeoutNanos, timeoutNanos);
         // A loop that is behind has read the request late, and will be late with the answer.
         long deadlineNanos = Math.min(endNanos, readNanos + timeoutNanos
                 - Math.min(DEADLINE_MARGIN_NANOS + 2 * lag.getAsLong(), timeoutNanos / 2));
