--- a/proxy/src/main/java/burlarch/proxy/ClientListener.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientListener.java
@@ -76,6 +76,7 @@
                     }
                 }).bind(address);
         servers.add(bound.channel());
+        bound.channel().closeFuture().addListener(f -> endFreeInATurn());
         return bound;
     }
 
@@ -128,7 +129,7 @@
     }
 
     private void checkEnded() {
-        if (ending && connections.isEmpty() && whenEnded != null) {
+        if (ending && connections.isEmpty() && !takesConnections() && whenEnded != null) {
             whenEnded.run();
             whenEnded = null;
         }
@@ -175,18 +176,32 @@
 
     /**
      * From now on each last answer ends its connection, and those that carry no request end after a turn of
-     * the loop, which reads what they hold. The end of the connections is the end of all that is owed: what
-     * waits behind another request, what is half read, and answers that are not out keep theirs.
+     * the loop, which reads what they hold, once the listeners are closed: one that is open may bring more.
+     * The end of the connections is the end of all that is owed: what waits behind another request, what is
+     * half read, and answers that are not out keep theirs.
      *
      * @param action runs once when there is none left
      */
     void endConnections(Runnable action) {
         ending = true;
         whenEnded = action;
-        loop.schedule(this::endFree, TURN_MS, TimeUnit.MILLISECONDS);
+        endFreeInATurn();
+    }
+
+    private void endFreeInATurn() {
+        if (ending) {
+            loop.schedule(this::endFree, TURN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean takesConnections() {
+        return servers.stream().anyMatch(Channel::isOpen);
     }
 
     private void endFree() {
+        if (takesConnections()) {
+            return;
+        }
         for (ClientConnection connection : List.copyOf(connections)) {
             if (connection.use() == Use.IDLE || connection.use() == Use.SILENT) {
                 connection.giveUp();
