--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -40,14 +40,6 @@
 
 /** The program: {@code serve} is one real proxy, {@code drill} the decisions on the simulator's wire. */
 public final class ProxyMain {
-    /** After SIGTERM, connections come for 0.4 s more. */
-    private static final long ACCEPT_ON_MS = 450;
-    /** The platform kills no sooner than the longest deadline, of 3 s at most, and 0.7 s after SIGTERM. */
-    private static final long KILL_AFTER_MS = 700;
-    private static final long LONGEST_DEADLINE_MS = 3000;
-    /** Before that: the last answers are out, and before these the last requests are in. */
-    private static final long ANSWERED_BEFORE_MS = 120;
-    private static final long ASKED_BEFORE_MS = 150;
     /** How long a start waits for the agent's list: one that says nothing has nothing to tell. */
     private static final long FIRST_LIST_MS = 2000;
     /** What the log's thread may take for its last lines. */
@@ -393,11 +385,11 @@
     void drain() {
         CountDownLatch drained = new CountDownLatch(1);
         try {
-            long longestMs = loop.submit(() -> beginDrain(drained)).get();
-            if (longestMs < 0) {
+            DrainTimes times = loop.submit(() -> beginDrain(drained)).get();
+            if (times == null) {
                 return;
             }
-            boolean empty = drained.await(KILL_AFTER_MS + longestMs, TimeUnit.MILLISECONDS);
+            boolean empty = drained.await(times.killMs(), TimeUnit.MILLISECONDS);
             Log.line(empty ? "drained" : "ends with connections in hand");
             if (trace != null) {
                 trace.close();
@@ -411,19 +403,18 @@
         }
     }
 
-    /** @return the longest time of a request in milliseconds; -1 where no port is bound: nothing is owed */
-    private long beginDrain(CountDownLatch drained) {
+    /** @return null where no port is bound: nothing is owed */
+    private DrainTimes beginDrain(CountDownLatch drained) {
         if (!ready) {
-            return -1;
+            return null;
         }
-        long longestMs = Math.min(LONGEST_DEADLINE_MS,
-                TimeUnit.NANOSECONDS.toMillis(clients.reader().longestTimeoutNanos()));
-        long answeredMs = KILL_AFTER_MS + longestMs - ANSWERED_BEFORE_MS;
+        DrainTimes times =
+                DrainTimes.of(TimeUnit.NANOSECONDS.toMillis(clients.reader().longestTimeoutNanos()));
         Log.line("draining, " + table.owed() + " requests in hand");
-        clients.drain(clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(answeredMs));
-        loop.schedule(this::closeServers, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> clients.endConnections(drained::countDown),
-                Math.max(ACCEPT_ON_MS, answeredMs - ASKED_BEFORE_MS), TimeUnit.MILLISECONDS);
-        return longestMs;
+        clients.drain(clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(times.answeredMs()));
+        loop.schedule(this::closeServers, times.closeListenersMs(), TimeUnit.MILLISECONDS);
+        loop.schedule(() -> clients.endConnections(drained::countDown), times.endConnectionsMs(),
+                TimeUnit.MILLISECONDS);
+        return times;
     }
 }
