--- a/proxy/src/main/java/burlarch/proxy/ClientConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
@@ -268,6 +269,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // A peer that breaks a connection is none of our faults; anything else may lose a request.
+        if (!(cause instanceof IOException)) {
+            Log.line("a client's connection failed: " + cause);
+        }
         channel.close();
     }
 }
--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -217,7 +217,9 @@
         if (!table.instance().settings.asksForList()) {
             watch.start();
         }
-        LoopLag lag = new LoopLag(loop, clock);
+        // Answers that such a time holds up may be too late: the log has to tell why.
+        LoopLag lag = new LoopLag(loop, clock::nowNanos, behindNanos ->
+                Log.line("the loop was " + TimeUnit.NANOSECONDS.toMillis(behindNanos) + " ms behind"));
         LoadGate gate = null;
         if (features.ownLoad().on()) {
             gate = new LoadGate(clock.nowNanos(), LoopLag.BEAT_NANOS, table.instance().settings, lag::nanos);
