--- a/proxy/src/main/java/burlarch/proxy/ClientConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientConnection.java
@@ -44,7 +44,7 @@
     private final Channel channel;
     private final RequestDecoder decoder;
     private final RequestCollector collector;
-    private final RequestCollector.Budget budget;
+    private final ByteBudget budget;
     /** Requests, or rejections in their place, that came before the answer to the one before them. */
     private final ArrayDeque<Read> ahead = new ArrayDeque<>(0);
     /** When it was opened or last answered. */
@@ -61,7 +61,7 @@
     private Runnable leave;
 
     ClientConnection(ClientListener listener, RequestHandler handler, ProxyClock clock, Channel channel,
-            RequestDecoder decoder, RequestCollector collector, RequestCollector.Budget budget) {
+            RequestDecoder decoder, RequestCollector collector, ByteBudget budget) {
         super(false);
         this.listener = listener;
         this.handler = handler;
@@ -242,7 +242,12 @@
         if (closing) {
             channel.config().setAutoRead(false);
         }
-        return channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
+        int beyond = AnswerCollector.beyondOrdinary(response.content().readableBytes());
+        listener.longAnswers().take(beyond);
+        return channel.writeAndFlush(response).addListener(f -> {
+            listener.longAnswers().release(beyond);
+            written(f.isSuccess());
+        });
     }
 
     private void written(boolean whole) {
--- a/proxy/src/main/java/burlarch/proxy/ClientListener.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientListener.java
@@ -34,7 +34,8 @@
     private final RequestReader reader;
     private final BooleanSupplier ready;
     private final int connectionsMost;
-    private final RequestCollector.Budget budget = new RequestCollector.Budget();
+    private final ByteBudget budget = new ByteBudget(RequestCollector.HELD_MOST);
+    private final ByteBudget longAnswers;
     /** In the order of their opening. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final List<Channel> servers = new ArrayList<>();
@@ -51,6 +52,7 @@
         this.clock = clock;
         this.reader = new RequestReader(clock, table.instance(), lag);
         this.ready = ready;
+        this.longAnswers = table.longAnswers();
         this.connectionsMost = connectionsMost;
     }
 
@@ -135,6 +137,11 @@
         }
     }
 
+    /** What answers hold beyond the ordinary: theirs too until they are written. */
+    ByteBudget longAnswers() {
+        return longAnswers;
+    }
+
     RequestReader reader() {
         return reader;
     }
--- a/proxy/src/main/java/burlarch/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -14,7 +14,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -38,7 +37,6 @@
 final class NodePool {
     /** Connects to one node at a time: each costs it work that waiting calls would rather have done. */
     private static final int CONNECTS_AT_ONCE = 4;
-    private static final int LARGEST_ANSWER = 64 * 1024 + 4096;
     private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /**
      * How long a connection rests after an answer before it is given the next call. A second answer that
@@ -97,6 +95,7 @@
     private final Map<Long, Node> nodes = new HashMap<>();
     private final int connectionsMost;
     private final long restNanos;
+    private final ByteBudget longAnswers = new ByteBudget(AnswerCollector.BEYOND_MOST);
     private boolean connectsOn;
     /** Connections that are up or on their way. */
     private int open;
@@ -143,6 +142,11 @@
         sweeper.cancel(false);
     }
 
+    /** What answers hold beyond the ordinary. */
+    ByteBudget longAnswers() {
+        return longAnswers;
+    }
+
     // ---- what discovery tells
 
     /** @param complete whether nodes that are not among the endpoints are gone */
@@ -302,7 +306,7 @@
     private void add(Node node, InetSocketAddress address, Channel channel) {
         Connection connection = new Connection(node, address, channel);
         channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder,
-                new HttpObjectAggregator(LARGEST_ANSWER), connection);
+                new AnswerCollector(longAnswers), connection);
         connection.free();
     }
 
--- a/proxy/src/main/java/burlarch/proxy/RequestCollector.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestCollector.java
@@ -20,23 +20,15 @@
     private static final int LARGEST_BODY = 64 * 1024;
 
     /** The bytes of all bodies that are held, whole or in part: hundreds of half-sent ones fill memory. */
-    static final class Budget {
-        private static final int MOST_BYTES = 4 << 20;
+    static final int HELD_MOST = 4 << 20;
 
-        private int heldBytes;
-
-        void release(int bytes) {
-            heldBytes -= bytes;
-        }
-    }
-
-    private final Budget budget;
+    private final ByteBudget budget;
     /** Bytes of the body that is not whole yet. */
     private int partBytes;
     private boolean inBody;
     private boolean discards;
 
-    RequestCollector(Budget budget) {
+    RequestCollector(ByteBudget budget) {
         super(LARGEST_BODY);
         this.budget = budget;
     }
@@ -57,20 +49,20 @@
             return;
         }
         int bytes = content.content().readableBytes();
-        if (budget.heldBytes + bytes > Budget.MOST_BYTES) {
+        if (!budget.hasRoomFor(bytes)) {
             discards = true;
             reject(context, HttpResponseStatus.INSUFFICIENT_STORAGE);
             return;
         }
         if (inBody) {
-            budget.heldBytes += bytes;
+            budget.take(bytes);
             partBytes += bytes;
         }
         super.decode(context, copy(content), out);
     }
 
     /** On the heap, as a slice would hold the whole direct buffer of its read while the body is open. */
-    private static HttpContent copy(HttpContent content) {
+    static HttpContent copy(HttpContent content) {
         ByteBuf bytes = Unpooled.copiedBuffer(content.content());
         HttpContent copy = content instanceof LastHttpContent ? new DefaultLastHttpContent(bytes)
                 : new DefaultHttpContent(bytes);
--- a/proxy/src/main/java/burlarch/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -132,6 +132,10 @@
         observers.add(observer);
     }
 
+    ByteBudget longAnswers() {
+        return nodes.longAnswers();
+    }
+
     /** How many requests have not had their answer. */
     int owed() {
         return owed;
--- a/proxy/src/test/java/burlarch/proxy/NodeAnswersTest.java
+++ b/proxy/src/test/java/burlarch/proxy/NodeAnswersTest.java
@@ -98,4 +98,50 @@
             assertEquals(502, order.get().statusCode());
         }
     }
+
+    /** Some sites have bodies beyond the protocol's 64 KiB: they are served whole, or at worst not at all. */
+    @Test
+    void aLongAnswerIsServedWhole() throws Exception {
+        for (int length : new int[] {64 * 1024, 64 * 1024 + 4097, 220_000, AnswerCollector.LARGEST}) {
+            for (boolean chunked : new boolean[] {false, true}) {
+                try (Fixture f = new Fixture()) {
+                    CompletableFuture<HttpResponse<String>> read = f.read("k");
+                    String body = longBody(length);
+                    if (chunked) {
+                        f.cache.next().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + Integer.toHexString(length) + "\r\n" + body + "\r\n0\r\n\r\n");
+                    } else {
+                        f.cache.next().answer("200 OK", body);
+                    }
+                    assertEquals(200, read.get().statusCode());
+                    assertTrue(read.get().body().equals(body), length + " " + chunked);
+                }
+            }
+        }
+    }
+
+    @Test
+    void anAnswerThatIsLongerOrNeverEndsCostsItsAttemptAlone() throws Exception {
+        String chunk = "10000\r\n" + "x".repeat(0x10000) + "\r\n";
+        for (String endless : List.of("HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\nv",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.repeat(17))) {
+            try (Fixture f = new Fixture()) {
+                CompletableFuture<HttpResponse<String>> read = f.read("k");
+                FakeServer.Received asked = f.cache.next();
+                asked.drip(endless);
+                asked.channel.closeFuture().sync();
+                f.origin.next().answer("200 OK", "whole");
+                assertEquals("whole", read.get().body());
+            }
+        }
+    }
+
+    private static String longBody(int length) {
+        StringBuilder body = new StringBuilder(length + 16);
+        for (int i = 0; body.length() < length; i++) {
+            body.append(i).append(' ');
+        }
+        body.setLength(length);
+        return body.toString();
+    }
 }
