--- a/proxy/src/main/java/burlarch/proxy/RequestCollector.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestCollector.java
@@ -17,7 +17,8 @@
 
 /** Collects a request's body. What is too large goes on as a {@link Rejection}, answered in its turn. */
 final class RequestCollector extends HttpObjectAggregator {
-    private static final int LARGEST_BODY = 64 * 1024;
+    /** As long as a node's answers: what was written is read again. */
+    static final int LARGEST_BODY = AnswerCollector.LARGEST;
 
     /** The bytes of all bodies that are held, whole or in part: hundreds of half-sent ones fill memory. */
     static final int HELD_MOST = 4 << 20;
--- a/proxy/src/main/java/burlarch/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -109,6 +109,8 @@
     private boolean inside = true;
     private Runnable watchStarter = () -> { };
     private final List<Observer> observers = new ArrayList<>(0);
+    /** What the bodies of open requests hold beyond the ordinary: a node that hangs keeps many open. */
+    private final ByteBudget longRequests = new ByteBudget(AnswerCollector.BEYOND_MOST);
     private long lastId;
     private int owed;
 
@@ -136,6 +138,15 @@
         return nodes.longAnswers();
     }
 
+    /** Whether one more request of that size may be held; ordinary ones always may. */
+    boolean hasRoomFor(Arrival arrival) {
+        return longRequests.hasRoomFor(beyondOrdinary(arrival.upstream()));
+    }
+
+    private static int beyondOrdinary(UpstreamRequest request) {
+        return AnswerCollector.beyondOrdinary(request.body().length);
+    }
+
     /** How many requests have not had their answer. */
     int owed() {
         return owed;
@@ -178,6 +189,7 @@
         long id = ++lastId;
         Open open = new Open(id, arrival, exchange);
         requests.put(id, open);
+        longRequests.take(beyondOrdinary(open.upstream));
         clientIds.add(arrival.upstream().requestId());
         owed++;
         observers.forEach(observer -> observer.taken(arrival));
@@ -235,8 +247,8 @@
     }
 
     private void forgetIfOver(Open open) {
-        if (open.answered && open.out == 0) {
-            requests.remove(open.id);
+        if (open.answered && open.out == 0 && requests.remove(open.id) != null) {
+            longRequests.release(beyondOrdinary(open.upstream));
             clientIds.over(open.upstream.requestId(), clock.nowNanos());
         }
     }
--- a/proxy/src/main/java/burlarch/proxy/SingleRequests.java
+++ b/proxy/src/main/java/burlarch/proxy/SingleRequests.java
@@ -32,6 +32,10 @@
             reply.refused(gate.retryAfterNanos(), false);
             return () -> { };
         }
+        if (!table.hasRoomFor(arrival)) {
+            reply.refused(0, false);
+            return () -> { };
+        }
         long id = table.take(arrival, reply);
         return () -> table.gone(id);
     }
