--- a/proxy/src/main/java/burlarch/proxy/AnswerCollector.java
+++ b/proxy/src/main/java/burlarch/proxy/AnswerCollector.java
@@ -7,32 +7,15 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.util.List;
 
-/**
- * Collects a node's answer. Most bodies are of {@link #ORDINARY} bytes at most, and those always have room.
- * Longer ones come too; what all of them hold beyond that is bounded, as an answer may also never end. One
- * that there is no room for costs its attempt, and its connection.
- */
+/** Collects a node's answer. One that there is no room for costs its attempt, and its connection. */
 final class AnswerCollector extends HttpObjectAggregator {
-    /** A body's most bytes by the protocol, of which some sites have longer ones. */
-    static final int ORDINARY = 64 * 1024;
-    static final int LARGEST = 1 << 20;
-    /** Twelve of the longest that were seen, at a time; each is held twice while it is written. */
-    static final int BEYOND_MOST = 4 << 20;
-
-    /** What is beyond the ordinary, of all answers that are held, whole or in part. */
-    private final ByteBudget beyond;
+    private final BodyBudget budget;
     private int partBytes;
-    private int takenBytes;
     private boolean discards;
 
-    AnswerCollector(ByteBudget beyond) {
-        super(LARGEST);
-        this.beyond = beyond;
-    }
-
-    /** Of a body of that length. */
-    static int beyondOrdinary(int bytes) {
-        return Math.max(0, bytes - ORDINARY);
+    AnswerCollector(BodyBudget budget) {
+        super(BodyBudget.LARGEST);
+        this.budget = budget;
     }
 
     @Override
@@ -45,15 +28,13 @@
             super.decode(context, message, out);
             return;
         }
-        partBytes += content.content().readableBytes();
-        int moreBytes = beyondOrdinary(partBytes) - takenBytes;
-        if (!beyond.hasRoomFor(moreBytes)) {
+        int grownBytes = partBytes + content.content().readableBytes();
+        if (!budget.grow(partBytes, grownBytes)) {
             discards = true;
             context.close();
             return;
         }
-        beyond.take(moreBytes);
-        takenBytes += moreBytes;
+        partBytes = grownBytes;
         super.decode(context, RequestCollector.copy(content), out);
     }
 
@@ -70,8 +51,7 @@
     }
 
     private void release() {
-        beyond.release(takenBytes);
-        takenBytes = 0;
+        budget.release(partBytes);
         partBytes = 0;
     }
 }
--- a/proxy/src/main/java/burlarch/proxy/ClientConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientConnection.java
@@ -44,7 +44,7 @@
     private final Channel channel;
     private final RequestDecoder decoder;
     private final RequestCollector collector;
-    private final ByteBudget budget;
+    private final BodyBudget budget;
     /** Requests, or rejections in their place, that came before the answer to the one before them. */
     private final ArrayDeque<Read> ahead = new ArrayDeque<>(0);
     /** When it was opened or last answered. */
@@ -61,7 +61,7 @@
     private Runnable leave;
 
     ClientConnection(ClientListener listener, RequestHandler handler, ProxyClock clock, Channel channel,
-            RequestDecoder decoder, RequestCollector collector, ByteBudget budget) {
+            RequestDecoder decoder, RequestCollector collector, BodyBudget budget) {
         super(false);
         this.listener = listener;
         this.handler = handler;
@@ -242,10 +242,10 @@
         if (closing) {
             channel.config().setAutoRead(false);
         }
-        int beyond = AnswerCollector.beyondOrdinary(response.content().readableBytes());
-        listener.longAnswers().take(beyond);
+        int bytes = response.content().readableBytes();
+        listener.answers().take(bytes);
         return channel.writeAndFlush(response).addListener(f -> {
-            listener.longAnswers().release(beyond);
+            listener.answers().release(bytes);
             written(f.isSuccess());
         });
     }
--- a/proxy/src/main/java/burlarch/proxy/ClientListener.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientListener.java
@@ -34,8 +34,9 @@
     private final RequestReader reader;
     private final BooleanSupplier ready;
     private final int connectionsMost;
-    private final ByteBudget budget = new ByteBudget(RequestCollector.HELD_MOST);
-    private final ByteBudget longAnswers;
+    private final BodyBudget budget =
+            new BodyBudget(RequestCollector.HELD_MOST, BodyBudget.BEYOND_MOST);
+    private final BodyBudget answers;
     /** In the order of their opening. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final List<Channel> servers = new ArrayList<>();
@@ -52,7 +53,7 @@
         this.clock = clock;
         this.reader = new RequestReader(clock, table.instance(), lag);
         this.ready = ready;
-        this.longAnswers = table.longAnswers();
+        this.answers = table.answers();
         this.connectionsMost = connectionsMost;
     }
 
@@ -137,9 +138,9 @@
         }
     }
 
-    /** What answers hold beyond the ordinary: theirs too until they are written. */
-    ByteBudget longAnswers() {
-        return longAnswers;
+    /** What answers hold: theirs too until they are written. */
+    BodyBudget answers() {
+        return answers;
     }
 
     RequestReader reader() {
--- a/proxy/src/main/java/burlarch/proxy/NodePool.java
+++ b/proxy/src/main/java/burlarch/proxy/NodePool.java
@@ -95,7 +95,7 @@
     private final Map<Long, Node> nodes = new HashMap<>();
     private final int connectionsMost;
     private final long restNanos;
-    private final ByteBudget longAnswers = new ByteBudget(AnswerCollector.BEYOND_MOST);
+    private final BodyBudget answers = BodyBudget.ofLongOnes();
     private boolean connectsOn;
     /** Connections that are up or on their way. */
     private int open;
@@ -142,9 +142,9 @@
         sweeper.cancel(false);
     }
 
-    /** What answers hold beyond the ordinary. */
-    ByteBudget longAnswers() {
-        return longAnswers;
+    /** What answers hold. */
+    BodyBudget answers() {
+        return answers;
     }
 
     // ---- what discovery tells
@@ -306,7 +306,7 @@
     private void add(Node node, InetSocketAddress address, Channel channel) {
         Connection connection = new Connection(node, address, channel);
         channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder,
-                new AnswerCollector(longAnswers), connection);
+                new AnswerCollector(answers), connection);
         connection.free();
     }
 
--- a/proxy/src/main/java/burlarch/proxy/RequestCollector.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestCollector.java
@@ -18,18 +18,18 @@
 /** Collects a request's body. What is too large goes on as a {@link Rejection}, answered in its turn. */
 final class RequestCollector extends HttpObjectAggregator {
     /** As long as a node's answers: what was written is read again. */
-    static final int LARGEST_BODY = AnswerCollector.LARGEST;
+    static final int LARGEST_BODY = BodyBudget.LARGEST;
 
     /** The bytes of all bodies that are held, whole or in part: hundreds of half-sent ones fill memory. */
     static final int HELD_MOST = 4 << 20;
 
-    private final ByteBudget budget;
+    private final BodyBudget budget;
     /** Bytes of the body that is not whole yet. */
     private int partBytes;
     private boolean inBody;
     private boolean discards;
 
-    RequestCollector(ByteBudget budget) {
+    RequestCollector(BodyBudget budget) {
         super(LARGEST_BODY);
         this.budget = budget;
     }
@@ -50,13 +50,13 @@
             return;
         }
         int bytes = content.content().readableBytes();
-        if (!budget.hasRoomFor(bytes)) {
+        // What comes outside a body is dropped below, and held by nobody.
+        if (!(inBody ? budget.grow(partBytes, partBytes + bytes) : budget.hasRoomFor(bytes))) {
             discards = true;
             reject(context, HttpResponseStatus.INSUFFICIENT_STORAGE);
             return;
         }
         if (inBody) {
-            budget.take(bytes);
             partBytes += bytes;
         }
         super.decode(context, copy(content), out);
--- a/proxy/src/main/java/burlarch/proxy/RequestTable.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestTable.java
@@ -109,8 +109,8 @@
     private boolean inside = true;
     private Runnable watchStarter = () -> { };
     private final List<Observer> observers = new ArrayList<>(0);
-    /** What the bodies of open requests hold beyond the ordinary: a node that hangs keeps many open. */
-    private final ByteBudget longRequests = new ByteBudget(AnswerCollector.BEYOND_MOST);
+    /** What the bodies of open requests hold: a node that hangs keeps many open. */
+    private final BodyBudget bodies = BodyBudget.ofLongOnes();
     private long lastId;
     private int owed;
 
@@ -134,17 +134,13 @@
         observers.add(observer);
     }
 
-    ByteBudget longAnswers() {
-        return nodes.longAnswers();
+    BodyBudget answers() {
+        return nodes.answers();
     }
 
     /** Whether one more request of that size may be held; ordinary ones always may. */
     boolean hasRoomFor(Arrival arrival) {
-        return longRequests.hasRoomFor(beyondOrdinary(arrival.upstream()));
-    }
-
-    private static int beyondOrdinary(UpstreamRequest request) {
-        return AnswerCollector.beyondOrdinary(request.body().length);
+        return bodies.hasRoomFor(arrival.upstream().body().length);
     }
 
     /** How many requests have not had their answer. */
@@ -189,7 +185,7 @@
         long id = ++lastId;
         Open open = new Open(id, arrival, exchange);
         requests.put(id, open);
-        longRequests.take(beyondOrdinary(open.upstream));
+        bodies.take(open.upstream.body().length);
         clientIds.add(arrival.upstream().requestId());
         owed++;
         observers.forEach(observer -> observer.taken(arrival));
@@ -248,7 +244,7 @@
 
     private void forgetIfOver(Open open) {
         if (open.answered && open.out == 0 && requests.remove(open.id) != null) {
-            longRequests.release(beyondOrdinary(open.upstream));
+            bodies.release(open.upstream.body().length);
             clientIds.over(open.upstream.requestId(), clock.nowNanos());
         }
     }
