--- a/proxy/src/main/java/burlarch/proxy/ClientConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientConnection.java
@@ -274,8 +274,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // A peer that breaks a connection is none of our faults; anything else may lose a request.
-        if (!(cause instanceof IOException)) {
+        // A client that breaks or ends its connection is none of our faults; all else may lose a request.
+        if (!(cause instanceof IOException) && channel.isActive()) {
             Log.line("a client's connection failed: " + cause);
         }
         channel.close();
--- a/proxy/src/main/java/burlarch/proxy/DrainTimes.java
+++ b/proxy/src/main/java/burlarch/proxy/DrainTimes.java
@@ -2,7 +2,7 @@
 
 /**
  * What a drain does when, in milliseconds after SIGTERM. The last answers have to be out before the platform
- * kills, and a loop that is behind gives them late: what is kept for that is more than it was ever seen to be.
+ * kills, and a loop that is behind gives them late: more is kept for that than it was ever seen to be.
  *
  * @param closeListenersMs from when no more connections are taken
  * @param endConnectionsMs from when each last answer ends its connection
