--- a/proxy/src/test/java/burlarch/proxy/ProgramIT.java
+++ b/proxy/src/test/java/burlarch/proxy/ProgramIT.java
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Without a handler SIGHUP ends the JVM with 129. Where it was ignored from the start, as under nohup, the
-     * JVM leaves it ignored, so that it is set to its default first.
+     * Without a handler SIGHUP ends the JVM with 129. Where it was ignored from the start, as under nohup,
+     * the JVM leaves it ignored, so that it is set to its default first.
      */
     @Test
     void sighupReadsTheConfigurationAgain() throws Exception {
