--- a/decisions/src/main/java/burlarch/decisions/CallGapping.java
+++ b/admission/src/main/java/burlarch/admission/CallGapping.java
@@ -1,4 +1,4 @@
-package burlarch.decisions;
+package burlarch.admission;
 
 import java.util.Arrays;
 
@@ -7,7 +7,7 @@
  * offered and the admitted rate; an offer is admitted while the tenant's provisional rate stays within its
  * bound: its share of the capacity plus a split of what the others leave unused.
  */
-final class CallGapping {
+public final class CallGapping {
     private final double[] share;
     final double[] offered, admitted;
     private long lastNanos;
@@ -15,7 +15,7 @@
     private boolean withinShare;
 
     /** @param shares one per tenant; scaled to sum one. An unlisted tenant has no share of its own. */
-    CallGapping(double[] shares) {
+    public CallGapping(double[] shares) {
         int n = shares.length;
         double sum = Arrays.stream(shares).map(s -> Math.max(0, s)).sum();
         share = new double[n + 1];
@@ -26,7 +26,7 @@
     }
 
     /** The paper's estimator: λ̂ := χ/T + max{0, λ̂ − gap·λ̂/T}. */
-    static double advance(double rate, double chi, double gapSeconds, double timeConstant) {
+    public static double advance(double rate, double chi, double gapSeconds, double timeConstant) {
         return chi / timeConstant + Math.max(0, rate - gapSeconds * rate / timeConstant);
     }
 
@@ -36,7 +36,7 @@
      * @param capacity c, per second
      * @param window W of the offer's priority; T = W / c
      */
-    boolean offer(int i, double capacity, double window, long nowNanos) {
+    public boolean offer(int i, double capacity, double window, long nowNanos) {
         int tenant = i >= 0 && i < share.length - 1 ? i : share.length - 1;
         double timeConstant = window / capacity;
         double gap = Math.max(0, nowNanos - lastNanos) * 1e-9;
@@ -67,7 +67,7 @@
     }
 
     /** Takes back an admitted offer of so long ago, of which nothing went out. */
-    void withdraw(int i, double capacity, double window, double agoSeconds) {
+    public void withdraw(int i, double capacity, double window, double agoSeconds) {
         int tenant = i >= 0 && i < share.length - 1 ? i : share.length - 1;
         double timeConstant = window / capacity;
         double left = advance(1 / timeConstant, 0, agoSeconds, timeConstant);
@@ -87,12 +87,12 @@
     }
 
     /** ρ, the sum of the offered rates as of the last offer. */
-    double offeredTotal() {
+    public double offeredTotal() {
         return offeredTotal;
     }
 
     /** Whether the last offer's tenant was within its guaranteed share. */
-    boolean wasWithinShare() {
+    public boolean wasWithinShare() {
         return withinShare;
     }
 }
--- a/decisions/src/main/java/burlarch/decisions/LearnedCapacity.java
+++ b/admission/src/main/java/burlarch/admission/LearnedCapacity.java
@@ -1,29 +1,29 @@
-package burlarch.decisions;
+package burlarch.admission;
 
 /**
  * The capacity c that one proxy may ask of one server, learned from outcomes. It rises only while the
  * throttle binds and answers come back in time. It falls at most once for each batch of evidence: on errors,
  * time-outs and refusals, and on growing delay before any of these.
  */
-final class LearnedCapacity {
+public final class LearnedCapacity {
     /** A server strained beyond this part of the aim is taking more than it can do. */
     private static final double STRAINED = 0.35;
     /** Growth over its usual delay that counts, for a server whose usual delay is already near the aim. */
     private static final double GROWTH = 1.5;
     private static final double CUT = 0.9, GAIN_AFTER_CUT = 0.1;
     /** Low enough to be harmless, high enough that a trickle of fetches can prove recovery. */
-    static final double FLOOR_PER_SECOND = 2;
+    public static final double FLOOR_PER_SECOND = 2;
 
     /** Outcomes of a batch of evidence, also W of the goodput; how much quicker c climbs as they are rare. */
     private final double batch, floorPerSecond, haste;
-    final CallGapping throttle;
+    public final CallGapping throttle;
     private double perSecond, strain, goodput;
     private double gain = 1, usualStrain = STRAINED / GROWTH;
     /** The rate before the last cut less its part, 0 when never cut. */
     private double ceiling;
     private long lastNanos, cutNanos = Long.MIN_VALUE, boundUntilNanos = Long.MIN_VALUE;
 
-    LearnedCapacity(double[] shares, double start, double floorPerSecond, double batch, double haste) {
+    public LearnedCapacity(double[] shares, double start, double floorPerSecond, double batch, double haste) {
         throttle = new CallGapping(shares);
         this.batch = batch;
         this.haste = haste;
@@ -31,17 +31,17 @@
         perSecond = Math.max(floorPerSecond, start);
     }
 
-    double perSecond() {
+    public double perSecond() {
         return perSecond;
     }
 
     /** Until it has shown strain c keeps ahead of what is offered: γ_g does not bind. */
-    void keepAhead() {
+    public void keepAhead() {
         perSecond = Math.max(perSecond, ceiling == 0 ? throttle.offeredTotal() * GROWTH : 0);
     }
 
     /** Offers to γ_g. Only where it binds, or nearly, may good outcomes raise c. */
-    boolean offer(int tenant, double window, long nowNanos) {
+    public boolean offer(int tenant, double window, long nowNanos) {
         boolean admitted = throttle.offer(tenant, perSecond, window, nowNanos);
         if (!admitted || throttle.offeredTotal() > 0.8 * perSecond) {
             throttleBinds(nowNanos);
@@ -50,11 +50,11 @@
     }
 
     /** An admitted offer of so long ago was not sent after all. */
-    void withdraw(int tenant, double window, long agoNanos) {
+    public void withdraw(int tenant, double window, long agoNanos) {
         throttle.withdraw(tenant, perSecond, window, agoNanos * 1e-9);
     }
 
-    void throttleBinds(long nowNanos) {
+    public void throttleBinds(long nowNanos) {
         boundUntilNanos = nowNanos + (long) (batch / perSecond * 1e9);
     }
 
@@ -63,7 +63,7 @@
      * @param sample the part of the aim that the answer took, 1 for errors, time-outs and refusals
      * @return whether this made a batch of evidence that cut c
      */
-    boolean onOutcome(long sentNanos, double sample, boolean accepted, long nowNanos) {
+    public boolean onOutcome(long sentNanos, double sample, boolean accepted, long nowNanos) {
         goodput = CallGapping.advance(goodput, accepted ? 1 : 0, (nowNanos - lastNanos) * 1e-9,
                 batch / perSecond);
         lastNanos = nowNanos;
--- a/decisions/src/test/java/burlarch/decisions/LearnedCapacityTest.java
+++ b/admission/src/test/java/burlarch/admission/LearnedCapacityTest.java
@@ -1,4 +1,4 @@
-package burlarch.decisions;
+package burlarch.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/register/RegisterValue.java
@@ -0,0 +1,12 @@
+package burlarch.coordination.register;
+
+import java.util.List;
+
+/**
+ * What the register holds: its own acceptor set beside the payload, so that both change by one rule.
+ *
+ * @param members the acceptors; empty before the first admission
+ * @param payload opaque to the register
+ */
+public record RegisterValue(List<Member> members, byte[] payload) {
+}
--- a/decisions/src/main/java/burlarch/decisions/CachePool.java
+++ b/decisions/src/main/java/burlarch/decisions/CachePool.java
@@ -1,5 +1,7 @@
 package burlarch.decisions;
 
+import burlarch.admission.CallGapping;
+import burlarch.admission.LearnedCapacity;
 import burlarch.decisions.Api.*;
 import java.util.*;
 import java.util.function.Supplier;
--- a/decisions/src/main/java/burlarch/decisions/Policy.java
+++ b/decisions/src/main/java/burlarch/decisions/Policy.java
@@ -2,6 +2,7 @@
 
 // The interface of this module - its settings, events and actions - is Api.java.
 
+import burlarch.admission.LearnedCapacity;
 import burlarch.decisions.Api.*;
 import burlarch.decisions.CachePool.Node;
 import java.util.*;
--- /dev/null
+++ b/storage/src/main/java/burlarch/storage/package-info.java
@@ -0,0 +1,2 @@
+/** A log in segments with snapshots and checksums. */
+package burlarch.storage;
