--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/distribution/SubscriberTable.java
@@ -0,0 +1,102 @@
+package burlarch.coordination.distribution;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Which subscribers hold which revision of one stream of updates, and who waits for all of them to hold one. A
+ * subscriber that leaves is waited for no longer. Bounded by the subscribers and by {@link #MOST_WAITS}.
+ *
+ * @param <S> names a subscriber
+ */
+public final class SubscriberTable<S> {
+    /** Waits at the same time; a further one is over at once, with no claim that all hold the revision. */
+    public static final int MOST_WAITS = 1_024;
+
+    /** One wait for a revision. */
+    public static final class Wait {
+        private final long revision;
+        private final long deadlineNanos;
+
+        private Wait(long revision, long deadlineNanos) {
+            this.revision = revision;
+            this.deadlineNanos = deadlineNanos;
+        }
+
+        /** The revision that is waited for. */
+        public long revision() {
+            return revision;
+        }
+    }
+
+    private final Map<S, Long> heldRevisions = new HashMap<>();
+    private final List<Wait> waits = new ArrayList<>();
+
+    /** A subscriber came; it holds nothing yet. */
+    public void subscribe(S subscriber) {
+        heldRevisions.put(subscriber, Long.MIN_VALUE);
+    }
+
+    /** A subscriber is gone. Call {@link #finishedWaits} afterwards. */
+    public void unsubscribe(S subscriber) {
+        heldRevisions.remove(subscriber);
+    }
+
+    /** A subscriber holds that revision; an older one changes nothing. Call {@link #finishedWaits} afterwards. */
+    public void onAcknowledged(S subscriber, long revision) {
+        heldRevisions.computeIfPresent(subscriber, (key, held) -> Math.max(held, revision));
+    }
+
+    /** How many subscribers there are. */
+    public int size() {
+        return heldRevisions.size();
+    }
+
+    /** Those that hold less than the revision. */
+    public List<S> behind(long revision) {
+        List<S> behind = new ArrayList<>();
+        for (Map.Entry<S, Long> entry : heldRevisions.entrySet()) {
+            if (entry.getValue() < revision) {
+                behind.add(entry.getKey());
+            }
+        }
+        return behind;
+    }
+
+    /** Whether every subscriber holds the revision. */
+    public boolean allHold(long revision) {
+        for (long held : heldRevisions.values()) {
+            if (held < revision) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Begins to wait, or nothing if all hold it already or too many wait. */
+    public Optional<Wait> await(long revision, long deadlineNanos) {
+        if (allHold(revision) || waits.size() >= MOST_WAITS) {
+            return Optional.empty();
+        }
+        Wait wait = new Wait(revision, deadlineNanos);
+        waits.add(wait);
+        return Optional.of(wait);
+    }
+
+    /** Takes out the waits that are over: all hold the revision, or the deadline has passed. */
+    public List<Wait> finishedWaits(long nowNanos) {
+        List<Wait> finished = new ArrayList<>();
+        for (Iterator<Wait> remaining = waits.iterator(); remaining.hasNext();) {
+            Wait wait = remaining.next();
+            if (nowNanos - wait.deadlineNanos >= 0 || allHold(wait.revision)) {
+                remaining.remove();
+                finished.add(wait);
+            }
+        }
+        return finished;
+    }
+}
