--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/AcceptorKeeper.java
@@ -0,0 +1,77 @@
+package burlarch.fleet.controller;
+
+import burlarch.coordination.register.AcceptorSetPlan;
+import burlarch.coordination.register.AcceptorSetPlan.Candidate;
+import burlarch.coordination.register.Member;
+import burlarch.transport.NodeLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.tinylog.Logger;
+
+/**
+ * Keeps the register's acceptors in step with the controllers that live. The first live one by address acts; the others
+ * wait longer the later they stand, so that they rarely get into each other's way. Lives on the loop.
+ */
+final class AcceptorKeeper {
+    private static final long PERIOD_NANOS = 250_000_000;
+    private static final long REMOVE_AFTER_NANOS = 2_000_000_000;
+    private static final int TURNS_BETWEEN_CONTROLLERS = 2;
+
+    private final NodeLoop loop;
+    private final DecidedState decided;
+    private final StateRegister register;
+    private final ControllerPeers peers;
+    private final Member own;
+    private final long startedNanos;
+    private final AcceptorSetPlan plan = new AcceptorSetPlan(REMOVE_AFTER_NANOS);
+    private int turnsWaited;
+    private boolean changing;
+
+    AcceptorKeeper(NodeLoop loop, DecidedState decided, StateRegister register, ControllerPeers peers,
+            Member own) {
+        this.loop = loop;
+        this.decided = decided;
+        this.register = register;
+        this.peers = peers;
+        this.own = own;
+        startedNanos = loop.nanoTime();
+        loop.schedule(PERIOD_NANOS, this::check);
+    }
+
+    private void check() {
+        loop.schedule(PERIOD_NANOS, this::check);
+        List<Member> members = decided.members();
+        Optional<List<Member>> next = changing || register.acceptors().isChanging()
+                ? Optional.empty() : plan.next(members, candidates(), loop.nanoTime());
+        if (next.isEmpty() || decided.value() == null) {
+            turnsWaited = 0;
+            return;
+        }
+        if (turnsWaited++ >= rank() * TURNS_BETWEEN_CONTROLLERS) {
+            change(members, next.get());
+        }
+    }
+
+    private void change(List<Member> members, List<Member> next) {
+        changing = true;
+        register.changeMembers(members, next).whenComplete((state, failure) -> {
+            changing = false;
+            Logger.info("acceptors {} to {}: {}", members, next, failure == null ? "done" : failure.getMessage());
+        });
+    }
+
+    private List<Candidate> candidates() {
+        List<Candidate> candidates = new ArrayList<>(peers.candidates());
+        candidates.add(new Candidate(own, true, startedNanos));
+        return candidates;
+    }
+
+    private int rank() {
+        int before = 0;
+        for (String address : peers.upAddresses()) {
+            before += address.compareTo(own.address()) < 0 ? 1 : 0;
+        }
+        return before;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/OperatorCalls.java
@@ -0,0 +1,149 @@
+package burlarch.fleet.controller;
+
+import burlarch.configuration.ConfigurationDocument;
+import burlarch.configuration.ConfigurationPatch;
+import burlarch.configuration.InvalidConfiguration;
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.fleet.controller.api.ControlService;
+import burlarch.fleet.controller.state.ChangeResult;
+import burlarch.fleet.controller.state.StateChanges;
+import burlarch.fleet.controller.state.SystemState;
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import burlarch.fleet.error.Problem;
+import burlarch.transport.NodeLoop;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/** Calls of the operator and of instances, taken from Jetty's threads to the loop. */
+final class OperatorCalls implements ControlService {
+    /** How long routers are waited for before a change or a drain is acknowledged: those cut off won't answer. */
+    private static final long ROUTERS_NANOS = 300_000_000;
+    /** How long a first configuration waits for the acceptors that the losses to be borne need. */
+    private static final long FOUNDING_NANOS = 4_000_000_000L;
+
+    private final NodeLoop loop;
+    private final StateRegister register;
+    private final RouterPublisher publisher;
+    private final InstanceFeed instances;
+    private final int leastAcceptors;
+    private final long startedNanos;
+
+    /** @param lossesBorne how many acceptors may be lost at once */
+    OperatorCalls(NodeLoop loop, StateRegister register, RouterPublisher publisher, InstanceFeed instances,
+            int lossesBorne) {
+        this.loop = loop;
+        this.register = register;
+        this.publisher = publisher;
+        this.instances = instances;
+        leastAcceptors = 2 * lossesBorne + 1;
+        startedNanos = loop.nanoTime();
+    }
+
+    @Override
+    public CompletableFuture<Void> putConfiguration(byte[] body, long ifMatch) {
+        ConfigurationDocument document;
+        try {
+            document = ConfigurationDocument.read(body);
+        } catch (InvalidConfiguration invalid) {
+            return CompletableFuture.failedFuture(refusal(invalid));
+        }
+        return change("configuration " + document.version(),
+                state -> StateChanges.putConfiguration(state, ifMatch, document, document.digest()));
+    }
+
+    @Override
+    public CompletableFuture<Void> patchConfiguration(byte[] body, long ifMatch) {
+        ConfigurationPatch patch;
+        try {
+            patch = ConfigurationPatch.read(body);
+        } catch (InvalidConfiguration invalid) {
+            return CompletableFuture.failedFuture(refusal(invalid));
+        }
+        return change("patch to " + patch.version(),
+                state -> StateChanges.patchConfiguration(state, ifMatch, patch, patch.digest()));
+    }
+
+    private static FleetException refusal(InvalidConfiguration invalid) {
+        List<Problem> problems = invalid.problems().stream()
+                .map(problem -> new Problem(problem.field(), problem.reason())).toList();
+        return new FleetException(ErrorKind.INVALID, problems);
+    }
+
+    @Override
+    public CompletableFuture<byte[]> readConfiguration() {
+        return onLoop(register::read).thenApply(state -> {
+            if (!state.configured()) {
+                throw new FleetException(ErrorKind.NOT_FOUND);
+            }
+            return state.configuration();
+        });
+    }
+
+    @Override
+    public CompletableFuture<Void> nameWeights(String model, long version) {
+        return change("weights " + model + " " + version,
+                state -> StateChanges.nameWeights(state, model, version));
+    }
+
+    private CompletableFuture<Void> change(String name, Function<SystemState, ChangeResult> change) {
+        return onLoop(() -> {
+            if (tooFewAcceptors()) {
+                return CompletableFuture.<Void>failedFuture(new FleetException(ErrorKind.NO_QUORUM));
+            }
+            return register.change(change)
+                    .thenCompose(state -> publisher.awaitConfiguration(state.configurationVersion(), ROUTERS_NANOS))
+                    .whenComplete((done, failure) -> Logger.info("{}: {}", name,
+                            failure == null ? "in force" : failure.getMessage()));
+        });
+    }
+
+    private boolean tooFewAcceptors() {
+        return register.acceptors().all().size() < leastAcceptors
+                && loop.nanoTime() - startedNanos < FOUNDING_NANOS;
+    }
+
+    @Override
+    public CompletableFuture<Void> announce(Instance instance) {
+        return onLoop(() -> {
+            boolean leaves = instance.state() == InstanceState.DRAINING;
+            boolean changed = instances.onAnnounced(instance);
+            return leaves || changed ? awaitRouters(leaves) : CompletableFuture.completedFuture(null);
+        });
+    }
+
+    @Override
+    public CompletableFuture<Void> leave(String id) {
+        return onLoop(() -> {
+            instances.onLeft(id);
+            return awaitRouters(true);
+        });
+    }
+
+    private CompletableFuture<Void> awaitRouters(boolean leaves) {
+        return leaves ? publisher.awaitInstances(instances.revision(), ROUTERS_NANOS)
+                : CompletableFuture.completedFuture(null);
+    }
+
+    private <T> CompletableFuture<T> onLoop(Supplier<CompletableFuture<T>> call) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                call.get().whenComplete((value, failure) -> {
+                    if (failure == null) {
+                        result.complete(value);
+                    } else {
+                        result.completeExceptionally(failure);
+                    }
+                });
+            } catch (RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/RegisterDriver.java
@@ -0,0 +1,134 @@
+package burlarch.fleet.controller;
+
+import burlarch.coordination.register.Member;
+import burlarch.coordination.register.Output;
+import burlarch.coordination.register.Proposal;
+import burlarch.coordination.register.ProposalResult;
+import burlarch.coordination.register.RegisterChange;
+import burlarch.coordination.register.RegisterMessage;
+import burlarch.transport.Connection;
+import burlarch.transport.NodeLoop;
+import burlarch.transport.NodeMessage;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Runs proposals one after the other, so that those of one process don't get into each other's way, and lets the own
+ * acceptor answer those of others. Lives on the loop.
+ */
+final class RegisterDriver {
+    /** Proposals that wait for their turn; a further one ends at once as not started. */
+    private static final int MOST_WAITING = 64;
+
+    private record Waiting(RegisterChange change, long deadlineNanos, CompletableFuture<ProposalResult> result) {
+    }
+
+    private final NodeLoop loop;
+    private final ControllerPeers peers;
+    private final AcceptorHost acceptor;
+    private final String ownAddress;
+    private final String proposerName;
+    private final RandomGenerator random;
+    private final Supplier<List<Member>> members;
+    private final Deque<Waiting> queue = new ArrayDeque<>();
+    private Proposal proposal;
+    private Waiting running;
+    private long proposals;
+    private long round;
+
+    /**
+     * @param proposerName unique for this start of this process
+     * @param members the acceptors as they are known here
+     */
+    RegisterDriver(NodeLoop loop, ControllerPeers peers, AcceptorHost acceptor, String ownAddress,
+            String proposerName, RandomGenerator random, Supplier<List<Member>> members) {
+        this.loop = loop;
+        this.peers = peers;
+        this.acceptor = acceptor;
+        this.ownAddress = ownAddress;
+        this.proposerName = proposerName;
+        this.random = random;
+        this.members = members;
+    }
+
+    /** Proposes a change; the result comes on the loop, at the latest when the limit is over. */
+    CompletableFuture<ProposalResult> propose(RegisterChange change, long limitNanos) {
+        CompletableFuture<ProposalResult> result = new CompletableFuture<>();
+        if (queue.size() >= MOST_WAITING) {
+            result.complete(new ProposalResult.NotStarted());
+            return result;
+        }
+        queue.add(new Waiting(change, loop.nanoTime() + limitNanos, result));
+        startNext();
+        return result;
+    }
+
+    /** A message of the register from another controller. */
+    void onMessage(Connection from, RegisterMessage message) {
+        if (message instanceof RegisterMessage.Prepare || message instanceof RegisterMessage.Accept) {
+            acceptor.handle(message, reply -> from.send(new NodeMessage.Register(reply)));
+        } else {
+            onReply(proposal, message);
+        }
+    }
+
+    private void startNext() {
+        long now = loop.nanoTime();
+        while (proposal == null && !queue.isEmpty()) {
+            Waiting next = queue.poll();
+            if (now - next.deadlineNanos() >= 0) {
+                next.result().complete(new ProposalResult.NotStarted());
+                continue;
+            }
+            running = next;
+            proposal = new Proposal(proposerName + "/" + ++proposals, round, members.get(), next.change(),
+                    next.deadlineNanos(), random);
+            perform(proposal, proposal.start(now));
+        }
+    }
+
+    private void onReply(Proposal target, RegisterMessage message) {
+        if (target != null && target == proposal) {
+            perform(target, target.onMessage(message, loop.nanoTime()));
+        }
+    }
+
+    private void onTimer(Proposal target) {
+        if (target == proposal) {
+            perform(target, target.onTimer(loop.nanoTime()));
+        }
+    }
+
+    private void perform(Proposal target, List<Output> outputs) {
+        for (Output output : outputs) {
+            if (output instanceof Output.Send send) {
+                send(target, send);
+            } else if (output instanceof Output.Timer timer) {
+                loop.schedule(Math.max(0, timer.at() - loop.nanoTime()), () -> onTimer(target));
+            } else if (output instanceof Output.Done done) {
+                finish(target, done.result());
+            }
+        }
+    }
+
+    private void send(Proposal target, Output.Send send) {
+        if (send.member().address().equals(ownAddress)) {
+            acceptor.handle(send.message(), reply -> loop.execute(() -> onReply(target, reply)));
+        } else {
+            peers.send(send.member().address(), new NodeMessage.Register(send.message()));
+        }
+    }
+
+    private void finish(Proposal target, ProposalResult result) {
+        round = Math.max(round, target.round());
+        Waiting ended = running;
+        proposal = null;
+        running = null;
+        loop.execute(this::startNext);
+        ended.result().complete(result);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/RouterPublisher.java
@@ -0,0 +1,158 @@
+package burlarch.fleet.controller;
+
+import burlarch.coordination.distribution.SubscriberTable;
+import burlarch.coordination.distribution.SubscriberTable.Wait;
+import burlarch.coordination.registry.InstanceChanges;
+import burlarch.coordination.registry.InstanceRegistry;
+import burlarch.fleet.controller.state.SystemState;
+import burlarch.transport.Connection;
+import burlarch.transport.FrameCodec;
+import burlarch.transport.NodeLoop;
+import burlarch.transport.NodeMessage;
+import burlarch.transport.NodeMessage.ConfigurationUpdate;
+import burlarch.transport.NodeMessage.InstancesUpdate;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Streams configurations and instances to the routers that are connected, and tells when all of them hold a revision.
+ * Lives on the loop.
+ */
+final class RouterPublisher {
+    /** A configuration that another controller chose is sent by that one: here only to those that lack it by then. */
+    private static final long OTHERS_CHANGE_DELAY_NANOS = 150_000_000;
+
+    private final NodeLoop loop;
+    private final FrameCodec codec;
+    private final InstanceRegistry registry;
+    private final SubscriberTable<Connection> configurations = new SubscriberTable<>();
+    private final SubscriberTable<Connection> instances = new SubscriberTable<>();
+    private final Map<Wait, CompletableFuture<Void>> waiting = new IdentityHashMap<>();
+    private final Set<Connection> routers = new HashSet<>();
+    /** Routers that may be sent a configuration: after their connection a quorum confirmed the newest one. */
+    private final Set<Connection> confirmed = new HashSet<>();
+    private SystemState state = SystemState.EMPTY;
+    private byte[] configurationFrame;
+    private long sentRevision;
+
+    RouterPublisher(NodeLoop loop, FrameCodec codec, InstanceRegistry registry) {
+        this.loop = loop;
+        this.codec = codec;
+        this.registry = registry;
+    }
+
+    /** A router is connected. It gets instances at once, the configuration once {@link #onConfirmed} allows. */
+    void onRouterUp(Connection router, List<String> controllers) {
+        routers.add(router);
+        configurations.subscribe(router);
+        instances.subscribe(router);
+        router.sendFrame(frame(registry.snapshot()));
+        sendFleet(controllers);
+    }
+
+    void onRouterDown(Connection router, List<String> controllers) {
+        if (!routers.remove(router)) {
+            return;
+        }
+        confirmed.remove(router);
+        configurations.unsubscribe(router);
+        instances.unsubscribe(router);
+        finishWaits();
+        sendFleet(controllers);
+    }
+
+    /** How many routers are connected. */
+    int routerCount() {
+        return routers.size();
+    }
+
+    /** Tells the routers which controllers there are and how many routers. */
+    void sendFleet(List<String> controllers) {
+        byte[] frame = codec.encode(new NodeMessage.FleetUpdate(controllers, routers.size()));
+        routers.forEach(router -> router.sendFrame(frame));
+    }
+
+    /** The router was connected before a read that a quorum confirmed began: it may be sent the newest configuration. */
+    void onConfirmed(Connection router) {
+        if (routers.contains(router) && confirmed.add(router) && configurationFrame != null) {
+            router.sendFrame(configurationFrame);
+        }
+    }
+
+    /** A value was chosen. */
+    void onDecided(SystemState decided, boolean ownProposal) {
+        boolean newer = decided.configurationVersion() > state.configurationVersion();
+        state = decided;
+        if (!newer) {
+            return;
+        }
+        configurationFrame = codec.encode(
+                new ConfigurationUpdate(decided.configurationVersion(), decided.configuration()));
+        if (ownProposal) {
+            sendConfiguration();
+        } else {
+            loop.schedule(OTHERS_CHANGE_DELAY_NANOS, this::sendConfiguration);
+        }
+    }
+
+    private void sendConfiguration() {
+        for (Connection router : configurations.behind(state.configurationVersion())) {
+            if (confirmed.contains(router)) {
+                router.sendFrame(configurationFrame);
+            }
+        }
+    }
+
+    /** Sends the routers what changed in the registry since the last call. */
+    void sendInstances() {
+        if (registry.revision() == sentRevision) {
+            return;
+        }
+        byte[] frame = frame(registry.changesSince(sentRevision));
+        sentRevision = registry.revision();
+        routers.forEach(router -> router.sendFrame(frame));
+    }
+
+    private byte[] frame(InstanceChanges changes) {
+        return codec.encode(new InstancesUpdate(changes.revision(), changes.whole(), changes.instances()));
+    }
+
+    void onConfigurationAck(Connection router, long version) {
+        configurations.onAcknowledged(router, version);
+        finishWaits();
+    }
+
+    void onInstancesAck(Connection router, long revision) {
+        instances.onAcknowledged(router, revision);
+        finishWaits();
+    }
+
+    /** Done when all routers that are connected hold the version, or the time is over. */
+    CompletableFuture<Void> awaitConfiguration(long version, long limitNanos) {
+        return await(configurations, version, limitNanos);
+    }
+
+    /** Done when all routers that are connected hold the revision of the registry, or the time is over. */
+    CompletableFuture<Void> awaitInstances(long revision, long limitNanos) {
+        return await(instances, revision, limitNanos);
+    }
+
+    private CompletableFuture<Void> await(SubscriberTable<Connection> table, long revision, long limitNanos) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        table.await(revision, loop.nanoTime() + limitNanos).ifPresentOrElse(wait -> {
+            waiting.put(wait, done);
+            loop.schedule(limitNanos, this::finishWaits);
+        }, () -> done.complete(null));
+        return done;
+    }
+
+    private void finishWaits() {
+        long now = loop.nanoTime();
+        configurations.finishedWaits(now).forEach(wait -> waiting.remove(wait).complete(null));
+        instances.finishedWaits(now).forEach(wait -> waiting.remove(wait).complete(null));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
@@ -0,0 +1,99 @@
+package burlarch.fleet.controller;
+
+import burlarch.coordination.register.AcceptorSet;
+import burlarch.coordination.register.Decision;
+import burlarch.coordination.register.Member;
+import burlarch.coordination.register.ProposalResult;
+import burlarch.coordination.register.RegisterValue;
+import burlarch.fleet.controller.state.ChangeResult;
+import burlarch.fleet.controller.state.ChangeResult.Answer;
+import burlarch.fleet.controller.state.SystemState;
+import burlarch.fleet.controller.state.SystemStateCodec;
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import burlarch.transport.NodeMessage;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/**
+ * The register as one that holds a {@link SystemState}: what a proposal chose is adopted and told to the other
+ * controllers before anyone hears of its end. Lives on the loop.
+ */
+final class StateRegister {
+    private static final long PROPOSAL_NANOS = 850_000_000;
+
+    private final RegisterDriver driver;
+    private final DecidedState decided;
+    private final ControllerPeers peers;
+
+    StateRegister(RegisterDriver driver, DecidedState decided, ControllerPeers peers) {
+        this.driver = driver;
+        this.decided = decided;
+        this.peers = peers;
+    }
+
+    /** What a change came to, beside the state that a quorum has. */
+    private static final class Attempt {
+        private ChangeResult result;
+    }
+
+    /**
+     * Changes the state.
+     *
+     * @return the state that holds the change, also where it held it before; fails with a {@link FleetException}
+     */
+    CompletableFuture<SystemState> change(Function<SystemState, ChangeResult> change) {
+        Attempt attempt = new Attempt();
+        return driver.propose(current -> {
+            SystemState state = current == null ? SystemState.EMPTY : SystemStateCodec.decode(current.payload());
+            attempt.result = change.apply(state);
+            return decision(current, attempt.result);
+        }, PROPOSAL_NANOS).thenApply(result -> {
+            SystemState state = adopt(result);
+            if (attempt.result instanceof ChangeResult.Unchanged unchanged
+                    && unchanged.answer() != Answer.ALREADY_TAKEN) {
+                throw unchanged.failure();
+            }
+            return state;
+        });
+    }
+
+    private Decision decision(RegisterValue current, ChangeResult result) {
+        if (result instanceof ChangeResult.Changed changed) {
+            List<Member> members = current == null ? decided.members() : current.members();
+            return new Decision.Write(new RegisterValue(members, SystemStateCodec.encode(changed.state())));
+        }
+        ChangeResult.Unchanged unchanged = (ChangeResult.Unchanged) result;
+        return unchanged.answer() == Answer.ALREADY_TAKEN ? Decision.keep() : Decision.seal();
+    }
+
+    /** The newest state, as a quorum has it. */
+    CompletableFuture<SystemState> read() {
+        return driver.propose(current -> Decision.keep(), PROPOSAL_NANOS).thenApply(this::adopt);
+    }
+
+    /** Changes the acceptors; the state stays. */
+    CompletableFuture<SystemState> changeMembers(List<Member> from, List<Member> to) {
+        return driver.propose(current -> {
+            boolean asExpected = current != null && current.members().equals(from);
+            return asExpected ? new Decision.Write(new RegisterValue(to, current.payload())) : Decision.keep();
+        }, PROPOSAL_NANOS).thenApply(this::adopt);
+    }
+
+    private SystemState adopt(ProposalResult result) {
+        if (result instanceof ProposalResult.Chosen chosen) {
+            if (decided.adopt(chosen.ballot(), chosen.value(), true)) {
+                peers.sendAll(new NodeMessage.Decided(chosen.ballot(), chosen.value()));
+            }
+            return chosen.value() == null ? SystemState.EMPTY : SystemStateCodec.decode(chosen.value().payload());
+        }
+        boolean unclear = result instanceof ProposalResult.Unknown;
+        throw new FleetException(unclear ? ErrorKind.UNCLEAR : ErrorKind.NO_QUORUM);
+    }
+
+    /** The acceptors that have a vote, as far as is known here. */
+    AcceptorSet acceptors() {
+        return AcceptorSet.of(decided.members());
+    }
+}
