--- /dev/null
+++ b/transport/src/main/java/burlarch/transport/NodeTransport.java
@@ -0,0 +1,242 @@
+package burlarch.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardProtocolFamily;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.Logger;
+
+/**
+ * Connections between nodes: takes those of others and keeps those that this node asks for. Two nodes may
+ * have two connections with each other, one asked for by each.
+ */
+public final class NodeTransport implements AutoCloseable {
+    private static final int BACKLOG = 1_024;
+    private static final int BUFFER_BYTES = 64 << 10;
+    private static final long ACCEPT_PAUSE_NANOS = 100_000_000;
+
+    private final NodeLoop loop;
+    private final TransportSettings settings;
+    private final Listener listener;
+    private final FrameCodec codec = new FrameCodec();
+    private final byte[] helloFrame;
+    private final Connection.Shared shared;
+    private final KeepAlive keepAlive;
+    private final ServerSocketChannel server;
+    private final InetSocketAddress address;
+    private final Map<InetSocketAddress, Dialer> dialers = new HashMap<>();
+    private final AtomicLong garbledFrames = new AtomicLong();
+    private int accepted;
+    private boolean closed;
+
+    /** Told of everything on the loop. */
+    public interface Listener {
+        /** The peer has said Hello. */
+        void onUp(Connection connection);
+
+        /** A message other than Hello and Ping. */
+        void onMessage(Connection connection, NodeMessage message);
+
+        /** Once for each connection that was up, in a turn of its own after whatever closed it. */
+        void onDown(Connection connection);
+    }
+
+    /** With the default times and bounds. */
+    public NodeTransport(NodeLoop loop, NodeMessage.Hello own, InetSocketAddress listen, Listener listener)
+            throws IOException {
+        this(loop, own, listen, listener, TransportSettings.DEFAULTS);
+    }
+
+    /**
+     * Listens at once.
+     *
+     * @param own what is said first on each connection
+     * @param listen address of this machine
+     * @throws IOException where the address cannot be listened on
+     */
+    public NodeTransport(NodeLoop loop, NodeMessage.Hello own, InetSocketAddress listen, Listener listener,
+            TransportSettings settings) throws IOException {
+        this.loop = loop;
+        this.settings = settings;
+        this.listener = listener;
+        helloFrame = codec.encode(own);
+        shared = new Connection.Shared(loop, codec, settings, ByteBuffer.allocate(BUFFER_BYTES),
+                ByteBuffer.allocateDirect(BUFFER_BYTES), codec.encode(new NodeMessage.Ping()));
+        keepAlive = new KeepAlive(loop, settings);
+        server = ServerSocketChannel.open(StandardProtocolFamily.INET);
+        try {
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            server.bind(listen, BACKLOG);
+            address = (InetSocketAddress) server.getLocalAddress();
+        } catch (IOException e) {
+            server.close();
+            throw e;
+        }
+        loop.execute(this::startAccepting);
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Encodes messages for {@link Connection#sendFrame}. */
+    public FrameCodec codec() {
+        return codec;
+    }
+
+    /** How many connections were closed for bytes that are no frame. */
+    public long garbledFrames() {
+        return garbledFrames.get();
+    }
+
+    /** Keeps a connection to that address until {@link #disconnect}; from any thread, may be repeated. */
+    public void connect(InetSocketAddress target) {
+        loop.execute(() -> {
+            if (!closed && !dialers.containsKey(target)) {
+                Dialer dialer = new Dialer(loop, settings, target, channel -> open(channel, true, target));
+                dialers.put(target, dialer);
+                dialer.start();
+            }
+        });
+    }
+
+    /** Closes the connection that this node asked for, if any, and asks no more; from any thread. */
+    public void disconnect(InetSocketAddress target) {
+        loop.execute(() -> {
+            Dialer dialer = dialers.remove(target);
+            if (dialer != null) {
+                dialer.stop();
+            }
+        });
+    }
+
+    /** Closes all connections and listens no more; from any thread. */
+    @Override
+    public void close() {
+        loop.execute(() -> {
+            closed = true;
+            NodeLoop.closeQuietly(server);
+            dialers.values().forEach(Dialer::stop);
+            dialers.clear();
+            new ArrayList<>(keepAlive.connections()).forEach(Connection::close);
+        });
+    }
+
+    private void startAccepting() {
+        try {
+            loop.register(server, SelectionKey.OP_ACCEPT, this::accept);
+        } catch (IOException | RuntimeException e) {
+            Logger.error(e, "Cannot accept connections");
+        }
+    }
+
+    private void accept(SelectionKey key) {
+        try {
+            SocketChannel channel = server.accept();
+            while (channel != null) {
+                if (accepted < settings.maxAccepted()) {
+                    open(channel, false, null);
+                } else {
+                    NodeLoop.closeQuietly(channel);
+                }
+                channel = server.accept();
+            }
+        } catch (IOException e) {
+            // Out of descriptors, most likely: trying again at once would only spin.
+            Logger.warn("Accepting failed: {}", e.getMessage());
+            key.interestOps(0);
+            loop.schedule(ACCEPT_PAUSE_NANOS, () -> resumeAccepting(key));
+        }
+    }
+
+    private static void resumeAccepting(SelectionKey key) {
+        if (key.isValid()) {
+            key.interestOps(SelectionKey.OP_ACCEPT);
+        }
+    }
+
+    /** @param target null where the other side asked */
+    private Connection open(SocketChannel channel, boolean outgoing, InetSocketAddress target)
+            throws IOException {
+        Connection connection = null;
+        try {
+            channel.configureBlocking(false);
+            connection = new Connection(shared, channel, outgoing, new Events(target));
+            connection.start(helloFrame);
+        } catch (IOException e) {
+            // The other side may have gone already: no reason to stop accepting.
+            NodeLoop.closeQuietly(channel);
+            if (outgoing) {
+                throw e;
+            }
+            return null;
+        }
+        accepted += outgoing ? 0 : 1;
+        keepAlive.add(connection);
+        return connection;
+    }
+
+    /** What follows from the events of one connection. */
+    private final class Events implements Connection.Owner {
+        private final InetSocketAddress target;
+
+        Events(InetSocketAddress target) {
+            this.target = target;
+        }
+
+        @Override
+        public void opened(Connection connection) {
+            Dialer dialer = target == null ? null : dialers.get(target);
+            if (dialer != null && dialer.owns(connection)) {
+                dialer.opened();
+            }
+            try {
+                listener.onUp(connection);
+            } catch (RuntimeException | Error e) {
+                failed(e);
+            }
+        }
+
+        @Override
+        public void received(Connection connection, NodeMessage message) {
+            try {
+                listener.onMessage(connection, message);
+            } catch (RuntimeException | Error e) {
+                failed(e);
+            }
+        }
+
+        @Override
+        public void garbled(Connection connection, FrameException reason) {
+            garbledFrames.incrementAndGet();
+            Logger.warn("Garbled frame from {}: {}", connection.remoteAddress(), reason.getMessage());
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            keepAlive.remove(connection);
+            accepted -= connection.outgoing() ? 0 : 1;
+            Dialer dialer = target == null ? null : dialers.get(target);
+            if (dialer != null && dialer.owns(connection)) {
+                dialer.closed();
+            }
+            if (connection.peer() != null) {
+                loop.execute(() -> listener.onDown(connection));
+            }
+        }
+
+        /** What the listener throws must not lose the frames behind this one. */
+        private void failed(Throwable reason) {
+            Logger.error(reason, "Handling a message failed");
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/burlarch/transport/FrameCodecTest.java
@@ -0,0 +1,138 @@
+package burlarch.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import burlarch.coordination.register.RegisterMessage;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Messages to bytes and back, and bytes that are none. */
+class FrameCodecTest {
+    private final FrameCodec codec = new FrameCodec();
+
+    static Stream<NodeMessage> messages() {
+        return Messages.all();
+    }
+
+    private NodeMessage decode(byte[] frame) throws FrameException {
+        assertThat(ByteBuffer.wrap(frame).getInt()).isEqualTo(frame.length - FrameCodec.HEADER_BYTES);
+        return codec.decode(frame, FrameCodec.HEADER_BYTES, frame.length - FrameCodec.HEADER_BYTES);
+    }
+
+    private NodeMessage decode(int number, Map<String, Object> body) throws FrameException, IOException {
+        byte[] cbor = new ObjectMapper(new CBORFactory()).writeValueAsBytes(body);
+        byte[] content = new byte[cbor.length + 1];
+        content[0] = (byte) number;
+        System.arraycopy(cbor, 0, content, 1, cbor.length);
+        return codec.decode(content, 0, content.length);
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void everyMessageComesBackAsItWas(NodeMessage message) throws FrameException {
+        assertThat(decode(codec.encode(message))).usingRecursiveComparison().isEqualTo(message);
+    }
+
+    @Test
+    void everyKindIsAmongTheMessagesTried() {
+        Set<Class<?>> tried = new HashSet<>();
+        messages().forEach(message -> tried.add(
+                message instanceof NodeMessage.Register register ? register.message().getClass()
+                        : message.getClass()));
+        assertThat(tried).contains(RegisterMessage.class.getPermittedSubclasses());
+        List<Class<?>> kinds = new ArrayList<>(
+                Arrays.asList(NodeMessage.class.getPermittedSubclasses()));
+        kinds.remove(NodeMessage.Register.class);
+        assertThat(tried).containsAll(kinds);
+    }
+
+    @Test
+    void bytesTravelAsTheyAre() {
+        byte[] json = new byte[10_000];
+        assertThat(codec.encode(new NodeMessage.ConfigurationUpdate(1, json)))
+                .hasSizeLessThan(json.length + 64);
+    }
+
+    @Test
+    void unknownFieldsArePassedOver() throws Exception {
+        assertThat(decode(7, Map.of("version", 4, "colour", Map.of("name", "red"))))
+                .isEqualTo(new NodeMessage.ConfigurationAck(4));
+    }
+
+    @Test
+    void absentTextsListsAndBytesAreEmpty() throws Exception {
+        assertThat(decode(1, Map.of("nodeName", "n")))
+                .isEqualTo(new NodeMessage.Hello("n", "", "", "", "", ""));
+        assertThat(decode(11, Map.of("routers", 2))).isEqualTo(new NodeMessage.FleetUpdate(List.of(), 2));
+        assertThat(((NodeMessage.ConfigurationUpdate) decode(6, Map.of("version", 2))).json()).isEmpty();
+    }
+
+    @Test
+    void aMessageWithoutItsBallotOrStateIsGarbled() {
+        assertThatThrownBy(() -> decode(32, Map.of("call", 1))).isInstanceOf(FrameException.class);
+        assertThatThrownBy(() -> decode(10, Map.of("instances", List.of(Map.of("id", "i")))))
+                .isInstanceOf(FrameException.class);
+        assertThatThrownBy(() -> decode(10, Map.of("instances", Arrays.asList((Object) null))))
+                .isInstanceOf(FrameException.class);
+        assertThatThrownBy(() -> decode(10, Map.of("instances", List.of(Map.of("state", "ASLEEP")))))
+                .isInstanceOf(FrameException.class);
+    }
+
+    @Test
+    void unknownNumbersAndEmptyFramesAreRefused() {
+        for (int number : new int[] {0, 63, 64, 255}) {
+            assertThatThrownBy(() -> decode(number, Map.of())).isInstanceOf(FrameException.class)
+                    .hasMessageContaining(String.valueOf(number));
+        }
+        assertThatThrownBy(() -> codec.decode(new byte[0], 0, 0)).isInstanceOf(FrameException.class);
+        assertThatThrownBy(() -> codec.decode(new byte[] {2}, 0, 1)).isInstanceOf(FrameException.class);
+    }
+
+    @Test
+    void cutOffAndOverlongBodiesAreGarbled() {
+        byte[] frame = codec.encode(Messages.hello("r1"));
+        int length = frame.length - FrameCodec.HEADER_BYTES;
+        assertThatThrownBy(() -> codec.decode(frame, FrameCodec.HEADER_BYTES, length - 1))
+                .isInstanceOf(FrameException.class);
+        byte[] longer = Arrays.copyOf(frame, frame.length + 1);
+        assertThatThrownBy(() -> codec.decode(longer, FrameCodec.HEADER_BYTES, length + 1))
+                .isInstanceOf(FrameException.class);
+    }
+
+    @Test
+    void flippedBytesNeverThrowAnythingElse() {
+        Random random = new Random(1);
+        messages().map(codec::encode).forEach(frame -> {
+            for (int trial = 0; trial < 200; trial++) {
+                byte[] flipped = frame.clone();
+                flipped[FrameCodec.HEADER_BYTES + random.nextInt(frame.length - FrameCodec.HEADER_BYTES)] =
+                        (byte) random.nextInt();
+                try {
+                    assertThat(decode(flipped)).isNotNull();
+                } catch (FrameException e) {
+                    assertThat(e.getMessage()).matches("(?s)(garbled|unknown kind of|no) message.*");
+                }
+            }
+        });
+    }
+
+    @Test
+    void aMessageBeyondTheBoundIsNotEncoded() {
+        NodeMessage large = new NodeMessage.ConfigurationUpdate(1, new byte[FrameCodec.MAX_FRAME_BYTES]);
+        assertThatThrownBy(() -> codec.encode(large)).isInstanceOf(IllegalArgumentException.class);
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/burlarch/transport/NodeLoopTest.java
@@ -0,0 +1,104 @@
+package burlarch.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tasks and timers on the loop. */
+@Timeout(20)
+class NodeLoopTest {
+    private static final long MILLI = 1_000_000;
+
+    private final NodeLoop loop = new NodeLoop("loop-test");
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    @Test
+    void tasksOfOneThreadRunInOrderOnTheLoop() throws Exception {
+        List<Integer> order = new ArrayList<>();
+        CompletableFuture<Boolean> onLoop = new CompletableFuture<>();
+        for (int i = 0; i < 1_000; i++) {
+            int number = i;
+            loop.execute(() -> order.add(number));
+        }
+        loop.execute(() -> onLoop.complete(loop.inLoop()));
+        assertThat(onLoop.get(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(order).containsExactlyElementsOf(IntStream.range(0, 1_000).boxed().toList());
+    }
+
+    @Test
+    void noTaskOfManyThreadsIsLost() throws Exception {
+        int threads = 8;
+        int each = 2_000;
+        CountDownLatch done = new CountDownLatch(threads * each);
+        for (int i = 0; i < threads; i++) {
+            new Thread(() -> {
+                for (int task = 0; task < each; task++) {
+                    loop.execute(done::countDown);
+                }
+            }).start();
+        }
+        assertThat(done.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aTaskThatThrowsEndsNothing() throws Exception {
+        CompletableFuture<String> after = new CompletableFuture<>();
+        loop.execute(() -> {
+            throw new IllegalStateException("meant to be thrown by a test");
+        });
+        loop.schedule(0, () -> {
+            throw new StackOverflowError("meant to be thrown by a test");
+        });
+        loop.schedule(MILLI, () -> after.complete("ran"));
+        assertThat(after.get(10, TimeUnit.SECONDS)).isEqualTo("ran");
+    }
+
+    @Test
+    void timersRunInTheOrderOfTheirTimesAndNotBefore() throws Exception {
+        List<String> order = Collections.synchronizedList(new ArrayList<>());
+        CompletableFuture<Long> last = new CompletableFuture<>();
+        long start = loop.nanoTime();
+        loop.execute(() -> {
+            loop.schedule(30 * MILLI, () -> last.complete(loop.nanoTime()));
+            loop.schedule(20 * MILLI, () -> order.add("second"));
+            loop.schedule(10 * MILLI, () -> order.add("first"));
+            loop.schedule(20 * MILLI, () -> order.add("third"));
+        });
+        assertThat(last.get(10, TimeUnit.SECONDS) - start).isGreaterThanOrEqualTo(30 * MILLI);
+        assertThat(order).containsExactly("first", "second", "third");
+    }
+
+    @Test
+    void aCancelledTimerNeverRuns() throws Exception {
+        List<String> ran = Collections.synchronizedList(new ArrayList<>());
+        CompletableFuture<Boolean> last = new CompletableFuture<>();
+        NodeLoop.Timer elsewhere = loop.schedule(20 * MILLI, () -> ran.add("elsewhere"));
+        elsewhere.cancel();
+        loop.execute(() -> loop.schedule(20 * MILLI, () -> ran.add("loop")).cancel());
+        loop.schedule(40 * MILLI, () -> last.complete(true));
+        assertThat(last.get(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(ran).isEmpty();
+    }
+
+    @Test
+    void closingEndsTheThreadAndDropsLaterTasks() throws Exception {
+        loop.close();
+        loop.join(10_000);
+        CompletableFuture<Boolean> late = new CompletableFuture<>();
+        loop.execute(() -> late.complete(true));
+        assertThat(late).isNotDone();
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/burlarch/transport/RecordingListener.java
@@ -0,0 +1,37 @@
+package burlarch.transport;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Keeps what a transport told, for the test's thread to wait for. */
+class RecordingListener implements NodeTransport.Listener {
+    private static final long WAIT_SECONDS = 10;
+
+    final BlockingQueue<Connection> up = new LinkedBlockingQueue<>();
+    final BlockingQueue<NodeMessage> messages = new LinkedBlockingQueue<>();
+    final BlockingQueue<Connection> down = new LinkedBlockingQueue<>();
+
+    @Override
+    public void onUp(Connection connection) {
+        up.add(connection);
+    }
+
+    @Override
+    public void onMessage(Connection connection, NodeMessage message) {
+        messages.add(message);
+    }
+
+    @Override
+    public void onDown(Connection connection) {
+        down.add(connection);
+    }
+
+    static <T> T take(BlockingQueue<T> queue) throws InterruptedException {
+        T next = queue.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("nothing came");
+        }
+        return next;
+    }
+}
