--- a/configuration/src/main/java/burlarch/configuration/Configuration.java
+++ b/configuration/src/main/java/burlarch/configuration/Configuration.java
@@ -4,12 +4,29 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 
-/** One whole configuration of the operator. Times are milliseconds unless a name says otherwise. */
+/**
+ * One whole configuration of the operator. Times are milliseconds unless a name says otherwise. Lists that
+ * were not given are empty, and fields that were not given have the defaults named here or else 0.
+ */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record Configuration(@JsonProperty("config_version") long version, List<Route> routes,
         List<Service> services, Limits limits, List<Tenant> tenants) {
 
-    /** Which requests go where, and what may be done with them. */
+    public Configuration {
+        routes = given(routes);
+        services = given(services);
+        limits = limits == null ? new Limits(0, 0, 0, 0) : limits;
+        tenants = given(tenants);
+    }
+
+    private static <T> List<T> given(List<T> list) {
+        return list == null ? List.of() : List.copyOf(list);
+    }
+
+    /**
+     * Which requests go where, and what may be done with them. A route without a type may not repeat, one
+     * without a target has its timeout as target, and each may go to one server at least.
+     */
     @JsonIgnoreProperties(ignoreUnknown = true)
     public record Route(String name, String hostname, @JsonProperty("path_prefix") String pathPrefix,
             @JsonProperty("route_type") RouteType type, @JsonProperty("timeout_ms") long timeoutMillis,
@@ -18,6 +35,14 @@
             @JsonProperty("public") boolean isPublic,
             @JsonProperty("session_affinity") boolean sessionAffinity, boolean resumable,
             @JsonProperty("gap_aim_ms") long gapAimMillis) {
+        private static final int RETRIES_LEAST = 1;
+
+        public Route {
+            type = type == null ? RouteType.NON_IDEMPOTENT : type;
+            targetLatencyMillis = targetLatencyMillis > 0 ? targetLatencyMillis : timeoutMillis;
+            trafficSplit = given(trafficSplit);
+            retries = Math.max(RETRIES_LEAST, retries);
+        }
     }
 
     /** What may repeat. */
@@ -46,6 +71,10 @@
     public record Engine(int capacity, @JsonProperty("kv_capacity") long kvCapacity,
             @JsonProperty("kv_token_bytes") long kvTokenBytes, @JsonProperty("link_mbps") double linkMbps,
             int stride, @JsonProperty("max_in_flight") int maxInFlight, List<Model> models) {
+
+        public Engine {
+            models = given(models);
+        }
     }
 
     /** A model by its name. */
@@ -59,11 +88,26 @@
             @JsonProperty("max_body_bytes") int maxBodyBytes,
             @JsonProperty("header_timeout_ms") long headerTimeoutMillis,
             @JsonProperty("idle_timeout_ms") long idleTimeoutMillis) {
+        private static final int HEADER_BYTES = 16_384;
+        private static final int BODY_BYTES = 4_194_304;
+        private static final long HEADER_TIMEOUT_MILLIS = 3_000;
+        private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
+        public Limits {
+            maxHeaderBytes = maxHeaderBytes > 0 ? maxHeaderBytes : HEADER_BYTES;
+            maxBodyBytes = maxBodyBytes > 0 ? maxBodyBytes : BODY_BYTES;
+            headerTimeoutMillis = headerTimeoutMillis > 0 ? headerTimeoutMillis : HEADER_TIMEOUT_MILLIS;
+            idleTimeoutMillis = idleTimeoutMillis > 0 ? idleTimeoutMillis : IDLE_TIMEOUT_MILLIS;
+        }
     }
 
     /** Who may call. {@code priority} null: the route's holds. */
     @JsonIgnoreProperties(ignoreUnknown = true)
     public record Tenant(String name, @JsonProperty("api_keys") List<String> apiKeys, Integer priority,
             boolean isolated) {
+
+        public Tenant {
+            apiKeys = given(apiKeys);
+        }
     }
 }
--- /dev/null
+++ b/configuration/src/main/java/burlarch/configuration/ConfigurationJson.java
@@ -0,0 +1,98 @@
+package burlarch.configuration;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/** How configurations are read and written: nothing is lost, and nothing ambiguous is read. */
+final class ConfigurationJson {
+    /** Bounds the stack that reading and writing take. */
+    private static final int DEPTH_MOST = 64;
+    private static final StreamReadConstraints CONSTRAINTS =
+            StreamReadConstraints.builder().maxNestingDepth(DEPTH_MOST).build();
+    private static final JsonMapper MAPPER = JsonMapper.builder(JsonFactory.builder()
+                    .streamReadConstraints(CONSTRAINTS)
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build())
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+            .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .nodeFactory(JsonNodeFactory.withExactBigDecimals(true)).build();
+
+    private ConfigurationJson() {
+    }
+
+    static ObjectNode readObject(byte[] json) throws InvalidConfiguration {
+        JsonNode tree;
+        try {
+            tree = MAPPER.readTree(json);
+        } catch (IOException e) {
+            throw unreadable(e);
+        }
+        if (tree instanceof ObjectNode object) {
+            return object;
+        }
+        throw new InvalidConfiguration("", "not a JSON object");
+    }
+
+    static <T> T read(byte[] json, Class<T> type) throws InvalidConfiguration {
+        try {
+            return whole(MAPPER.readValue(json, type));
+        } catch (IOException e) {
+            throw unreadable(e);
+        }
+    }
+
+    static <T> T convert(JsonNode tree, Class<T> type) throws InvalidConfiguration {
+        try {
+            return whole(MAPPER.treeToValue(tree, type));
+        } catch (JsonProcessingException e) {
+            throw unreadable(e);
+        }
+    }
+
+    private static <T> T whole(T value) throws InvalidConfiguration {
+        if (value == null) {
+            throw new InvalidConfiguration("", "not a JSON object");
+        }
+        return value;
+    }
+
+    /** Compact. */
+    static byte[] write(JsonNode tree) {
+        try {
+            return MAPPER.writeValueAsBytes(tree);
+        } catch (JsonProcessingException e) {
+            throw new AssertionError("a tree that was read can be written", e);
+        }
+    }
+
+    private static InvalidConfiguration unreadable(IOException e) {
+        if (!(e instanceof JsonProcessingException told)) {
+            return new InvalidConfiguration("", "not JSON: " + e.getMessage());
+        }
+        String field = e instanceof JsonMappingException mapping ? path(mapping) : "";
+        return new InvalidConfiguration(field, told.getOriginalMessage());
+    }
+
+    private static String path(JsonMappingException e) {
+        StringBuilder path = new StringBuilder();
+        for (JsonMappingException.Reference step : e.getPath()) {
+            if (step.getFieldName() == null) {
+                path.append('[').append(step.getIndex()).append(']');
+            } else {
+                path.append(path.length() == 0 ? "" : ".").append(step.getFieldName());
+            }
+        }
+        return path.toString();
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/burlarch/configuration/ConfigurationPatch.java
@@ -0,0 +1,137 @@
+package burlarch.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The operator's change to named items: items under {@code upsert} take the place of those with their name or
+ * come last, then those named under {@code delete} go; any other field replaces the whole one. Immutable.
+ */
+public final class ConfigurationPatch {
+    private static final String UPSERT = "upsert";
+    private static final String DELETE = "delete";
+    private static final String NAME = "name";
+
+    private final ObjectNode tree;
+    private final String digest;
+
+    private ConfigurationPatch(ObjectNode tree) {
+        this.tree = tree;
+        this.digest = CanonicalDigest.of(tree);
+    }
+
+    /** Reads a patch and checks its form. What it makes of a configuration is checked by {@link #applyTo}. */
+    public static ConfigurationPatch read(byte[] json) throws InvalidConfiguration {
+        ObjectNode tree = ConfigurationJson.readObject(json);
+        ConfigurationDocument.checkVersion(tree);
+        checkLists(tree, UPSERT);
+        checkLists(tree, DELETE);
+        return new ConfigurationPatch(tree);
+    }
+
+    private static void checkLists(ObjectNode tree, String change) throws InvalidConfiguration {
+        JsonNode lists = tree.path(change);
+        if (lists.isMissingNode() || lists.isNull()) {
+            return;
+        }
+        if (!lists.isObject()) {
+            throw new InvalidConfiguration(change, "must be an object of lists");
+        }
+        for (Map.Entry<String, JsonNode> list : lists.properties()) {
+            checkItems(change + "." + list.getKey(), list.getValue(), change.equals(UPSERT));
+        }
+    }
+
+    private static void checkItems(String field, JsonNode list, boolean whole) throws InvalidConfiguration {
+        if (!list.isArray()) {
+            throw new InvalidConfiguration(field, "must be a list");
+        }
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < list.size(); i++) {
+            JsonNode name = whole ? list.get(i).path(NAME) : list.get(i);
+            if (!name.isTextual()) {
+                throw new InvalidConfiguration(field + "[" + i + "]", "must be or have a name");
+            }
+            if (!names.add(name.textValue()) && whole) {
+                throw new InvalidConfiguration(field + "[" + i + "]", "another item has this name");
+            }
+        }
+    }
+
+    public long version() {
+        return tree.get(ConfigurationDocument.VERSION).longValue();
+    }
+
+    /** Of the patch as sent: SHA-256 in hexadecimal digits, whatever the order of fields. */
+    public String digest() {
+        return digest;
+    }
+
+    /** Whether the version is above the current one: else the change is invalid. */
+    public boolean supersedes(long currentVersion) {
+        return version() > currentVersion;
+    }
+
+    /** The base with this change, checked as a whole. Neither of the two changes. */
+    public ConfigurationDocument applyTo(ConfigurationDocument base) throws InvalidConfiguration {
+        ObjectNode changed = ConfigurationJson.readObject(base.json());
+        for (Map.Entry<String, JsonNode> field : tree.properties()) {
+            if (!field.getKey().equals(UPSERT) && !field.getKey().equals(DELETE)) {
+                changed.set(field.getKey(), field.getValue().deepCopy());
+            }
+        }
+        for (Map.Entry<String, JsonNode> list : tree.path(UPSERT).properties()) {
+            upsert(listOf(changed, list.getKey()), list.getValue());
+        }
+        for (Map.Entry<String, JsonNode> list : tree.path(DELETE).properties()) {
+            if (changed.hasNonNull(list.getKey())) {
+                delete(listOf(changed, list.getKey()), list.getValue());
+            }
+        }
+        return ConfigurationDocument.of(changed);
+    }
+
+    private static ArrayNode listOf(ObjectNode changed, String name) throws InvalidConfiguration {
+        JsonNode list = changed.path(name);
+        if (list.isMissingNode() || list.isNull()) {
+            return changed.putArray(name);
+        }
+        if (list instanceof ArrayNode array) {
+            return array;
+        }
+        throw new InvalidConfiguration(name, "has no named items");
+    }
+
+    private static void upsert(ArrayNode list, JsonNode items) {
+        Map<String, Integer> places = new HashMap<>();
+        for (int i = 0; i < list.size(); i++) {
+            places.put(list.get(i).path(NAME).asText(), i);
+        }
+        for (JsonNode item : items) {
+            Integer place = places.get(item.path(NAME).textValue());
+            if (place == null) {
+                list.add(item);
+            } else {
+                list.set(place, item);
+            }
+        }
+    }
+
+    private static void delete(ArrayNode list, JsonNode names) {
+        Set<String> gone = new HashSet<>();
+        for (JsonNode name : names) {
+            gone.add(name.textValue());
+        }
+        for (Iterator<JsonNode> items = list.iterator(); items.hasNext();) {
+            if (gone.contains(items.next().path(NAME).asText())) {
+                items.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/burlarch/configuration/FieldChecks.java
@@ -0,0 +1,78 @@
+package burlarch.configuration;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import jakarta.validation.ConstraintViolation;
+import jakarta.validation.Path;
+import jakarta.validation.TraversableResolver;
+import jakarta.validation.Validation;
+import jakarta.validation.Validator;
+import java.lang.annotation.ElementType;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.hibernate.validator.HibernateValidator;
+import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
+import org.hibernate.validator.spi.nodenameprovider.JavaBeanProperty;
+import org.hibernate.validator.spi.nodenameprovider.Property;
+import org.hibernate.validator.spi.nodenameprovider.PropertyNodeNameProvider;
+
+/** Checks single fields by their constraints. The validator starts with the first check, never before. */
+final class FieldChecks {
+    private FieldChecks() {
+    }
+
+    /** All broken constraints, by the names of the document, in the order of fields' paths. */
+    static List<Problem> check(DeclaredConfiguration declared) {
+        List<Problem> problems = new ArrayList<>();
+        for (ConstraintViolation<DeclaredConfiguration> each : Started.VALIDATOR.validate(declared)) {
+            problems.add(new Problem(field(each.getPropertyPath()), each.getMessage()));
+        }
+        problems.sort(Comparator.comparing(Problem::field).thenComparing(Problem::reason));
+        return problems;
+    }
+
+    /** Without the steps that name a list's element, such as {@code [0].<list element>}. */
+    private static String field(Path path) {
+        return path.toString().replaceAll("\\.?<[^>]*>", "");
+    }
+
+    /** Holds the validator: loaded by its first use. */
+    private static final class Started {
+        static final Validator VALIDATOR = Validation.byProvider(HibernateValidator.class).configure()
+                .ignoreXmlConfiguration().messageInterpolator(new ParameterMessageInterpolator())
+                .propertyNodeNameProvider(new DocumentNames()).traversableResolver(new EveryField())
+                .buildValidatorFactory().getValidator();
+    }
+
+    /** Names a field as the document does. */
+    private static final class DocumentNames implements PropertyNodeNameProvider {
+        @Override
+        public String getName(Property property) {
+            if (property instanceof JavaBeanProperty bean) {
+                try {
+                    JsonProperty name = bean.getDeclaringClass().getDeclaredField(bean.getName())
+                            .getAnnotation(JsonProperty.class);
+                    return name == null ? bean.getName() : name.value();
+                } catch (NoSuchFieldException e) {
+                    return bean.getName();
+                }
+            }
+            return property.getName();
+        }
+    }
+
+    /** Records are whole: nothing is loaded late, as the default asks for each field. */
+    private static final class EveryField implements TraversableResolver {
+        @Override
+        public boolean isReachable(Object object, Path.Node property, Class<?> root, Path path,
+                ElementType type) {
+            return true;
+        }
+
+        @Override
+        public boolean isCascadable(Object object, Path.Node property, Class<?> root, Path path,
+                ElementType type) {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/configuration/src/test/java/burlarch/configuration/WeightedSplitTest.java
@@ -0,0 +1,49 @@
+package burlarch.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import burlarch.configuration.Configuration.Route;
+import burlarch.configuration.Configuration.Split;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class WeightedSplitTest {
+    private static Route route(String service, Split... parts) {
+        return new Route("r", "h", "/", null, 1, 1, 0, service, List.of(parts), 1, false, false, false, 0);
+    }
+
+    @Test
+    void sharesFollowTheWeights() {
+        Route route = route("unused", new Split("none", 0), new Split("most", 7.5), new Split("zero", 0),
+                new Split("some", 2.5), new Split("last", 0));
+        Random random = new Random(9);
+        Map<String, Integer> counts = new HashMap<>();
+        int draws = 100_000;
+        for (int i = 0; i < draws; i++) {
+            counts.merge(WeightedSplit.pick(route, random.nextLong()), 1, Integer::sum);
+        }
+        assertThat(counts).containsOnlyKeys("most", "some");
+        assertThat((double) counts.get("most") / draws).isCloseTo(0.75, within(0.01));
+    }
+
+    @Test
+    void oneHashOneServiceAndNeverWeightZero() {
+        Route route = route(null, new Split("none", 0), new Split("only", 1e-9), new Split("last", 0));
+        for (long hash : new long[] {0, 1, -1, Long.MIN_VALUE, Long.MAX_VALUE}) {
+            assertThat(WeightedSplit.pick(route, hash)).isEqualTo("only");
+        }
+        Route two = route(null, new Split("first", 1), new Split("second", 1));
+        assertThat(WeightedSplit.pick(two, 0)).isEqualTo("first");
+        assertThat(WeightedSplit.pick(two, -1)).isEqualTo("second");
+        assertThat(WeightedSplit.pick(two, 77)).isEqualTo(WeightedSplit.pick(two, 77));
+    }
+
+    @Test
+    void withoutASplitTheServiceTakesAll() {
+        assertThat(WeightedSplit.pick(route("single"), -7)).isEqualTo("single");
+    }
+}
