--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/api/Announcements.java
@@ -0,0 +1,59 @@
+package burlarch.fleet.controller.api;
+
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.Instance.ServedModel;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads what an instance says of itself. Fields that are not known are passed over. */
+final class Announcements {
+    private static final int MOST_MODELS = 64;
+
+    private Announcements() {
+    }
+
+    /**
+     * The instance in a heartbeat's body.
+     *
+     * @throws FleetException if it is no JSON, or lacks its service, address, state or sequence
+     */
+    static Instance read(String id, byte[] body) {
+        JsonNode json = Json.object(body);
+        return new Instance(id, Json.text(json, "service"), address(json), Json.optionalText(json, "zone"),
+                Json.optionalText(json, "config_version"), Math.max(0, json.path("capacity").asInt()),
+                state(json), Math.max(0, json.path("warmup_left_ms").asLong()), models(json.path("models")),
+                Json.whole(json, "sequence"));
+    }
+
+    private static String address(JsonNode json) {
+        String address = Json.text(json, "address");
+        int colon = address.lastIndexOf(':');
+        if (colon <= 0 || colon == address.length() - 1) {
+            throw new FleetException(ErrorKind.INVALID, "address", "must be IP:PORT");
+        }
+        return address;
+    }
+
+    private static InstanceState state(JsonNode json) {
+        return switch (Json.text(json, "state")) {
+            case "ready" -> InstanceState.READY;
+            case "draining" -> InstanceState.DRAINING;
+            default -> throw new FleetException(ErrorKind.INVALID, "state", "must be ready or draining");
+        };
+    }
+
+    private static List<ServedModel> models(JsonNode list) {
+        if (list.size() > MOST_MODELS) {
+            throw new FleetException(ErrorKind.INVALID, "models", "too many");
+        }
+        List<ServedModel> models = new ArrayList<>(list.size());
+        for (JsonNode model : list) {
+            models.add(new ServedModel(Json.text(model, "name"), model.path("config_version").asLong()));
+        }
+        return List.copyOf(models);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/api/BodyReader.java
@@ -0,0 +1,106 @@
+package burlarch.fleet.controller.api;
+
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+
+/** Collects the body of one request without blocking, within the budget. */
+final class BodyReader implements Runnable {
+    private static final int FIRST_BYTES = 4 << 10;
+    private static final int GROWTH = 2;
+
+    private final Request request;
+    private final int longest;
+    private final BodyBudget budget;
+    private final Consumer<byte[]> whenRead;
+    private final Consumer<Throwable> whenFailed;
+    private byte[] bytes = new byte[0];
+    private int length;
+
+    /**
+     * A reader that has not begun.
+     *
+     * @param longest most bytes that are taken
+     * @param whenRead gets the body, which stays within the budget until {@link #release}
+     * @param whenFailed gets a {@link FleetException}, or the failure of a connection that broke
+     */
+    BodyReader(Request request, int longest, BodyBudget budget, Consumer<byte[]> whenRead,
+            Consumer<Throwable> whenFailed) {
+        this.request = request;
+        this.longest = longest;
+        this.budget = budget;
+        this.whenRead = whenRead;
+        this.whenFailed = whenFailed;
+    }
+
+    /** Reads what is there and asks to be run again when there is more. */
+    @Override
+    public void run() {
+        try {
+            if (request.getLength() > longest) {
+                throw new FleetException(ErrorKind.TOO_LARGE);
+            }
+            if (readAvailable()) {
+                whenRead.accept(length == bytes.length ? bytes : Arrays.copyOf(bytes, length));
+            } else {
+                request.demand(this);
+            }
+        } catch (FleetException failure) {
+            whenFailed.accept(failure);
+        }
+    }
+
+    /** Gives the bytes back to the budget. To be called once, after which nothing is read any more. */
+    void release() {
+        budget.giveBack(bytes.length);
+        bytes = new byte[0];
+        length = 0;
+    }
+
+    private boolean readAvailable() {
+        while (true) {
+            Content.Chunk chunk = request.read();
+            if (chunk == null) {
+                return false;
+            }
+            if (Content.Chunk.isFailure(chunk)) {
+                throw new FleetException(ErrorKind.BAD_REQUEST, "", "body broken off");
+            }
+            boolean last = chunk.isLast();
+            try {
+                append(chunk.getByteBuffer());
+            } finally {
+                chunk.release();
+            }
+            if (last) {
+                return true;
+            }
+        }
+    }
+
+    private void append(ByteBuffer chunk) {
+        int more = chunk.remaining();
+        if (more > longest - length) {
+            throw new FleetException(ErrorKind.TOO_LARGE);
+        }
+        if (more > bytes.length - length) {
+            grow(length + more);
+        }
+        chunk.get(bytes, length, more);
+        length += more;
+    }
+
+    private void grow(int least) {
+        long declared = request.getLength();
+        long wanted = Math.max(Math.max(least, FIRST_BYTES), (long) bytes.length * GROWTH);
+        int size = (int) Math.min(wanted, declared >= least ? declared : longest);
+        if (!budget.take(size - bytes.length)) {
+            throw new FleetException(ErrorKind.OVERLOADED);
+        }
+        bytes = Arrays.copyOf(bytes, size);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/api/ControlCall.java
@@ -0,0 +1,116 @@
+package burlarch.fleet.controller.api;
+
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.tinylog.Logger;
+
+/** One call and its one answer, whichever of result, failure and time-out comes first. */
+final class ControlCall {
+    private static final int OK = 200;
+    private static final String JSON = "application/json";
+    private static final byte[] EMPTY_OBJECT = {'{', '}'};
+
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final boolean last;
+    private final AtomicBoolean answered = new AtomicBoolean();
+
+    /**
+     * A call that has no answer yet.
+     *
+     * @param last whether its connection ends with the answer
+     */
+    ControlCall(Request request, Response response, Callback callback, boolean last) {
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.last = last;
+    }
+
+    /** Answers with what the service makes of it, bytes or nothing, or with 503 once the time is up. */
+    void answerWith(CompletableFuture<?> result, long limitMillis) {
+        if (result.isDone()) {
+            finish(result);
+            return;
+        }
+        Scheduler.Task limit = request.getComponents().getScheduler()
+                .schedule(() -> giveUp(result), limitMillis, TimeUnit.MILLISECONDS);
+        result.whenComplete((body, failure) -> {
+            limit.cancel();
+            finish(result);
+        });
+    }
+
+    private void giveUp(CompletableFuture<?> result) {
+        fail(new FleetException(ErrorKind.UNCLEAR));
+        result.cancel(false);
+    }
+
+    private void finish(CompletableFuture<?> result) {
+        try {
+            succeed(result.getNow(null) instanceof byte[] body ? body : EMPTY_OBJECT);
+        } catch (CompletionException | CancellationException failure) {
+            fail(failure);
+        }
+    }
+
+    private void succeed(byte[] body) {
+        if (answered.compareAndSet(false, true)) {
+            write(OK, body);
+        }
+    }
+
+    /** Answers with a failure: a {@link FleetException} as its kind says, all else as without a clear end. */
+    void fail(Throwable failure) {
+        if (!answered.compareAndSet(false, true)) {
+            return;
+        }
+        FleetException told = told(failure);
+        if (told.kind().mayRetry()) {
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, told.kind().retryAfterSeconds());
+        }
+        if (told.kind() == ErrorKind.TOO_LARGE || told.kind() == ErrorKind.OVERLOADED) {
+            closeAfterwards();
+        }
+        write(told.kind().status(), Json.error(told));
+    }
+
+    private static FleetException told(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        if (cause instanceof FleetException known) {
+            return known;
+        }
+        Logger.error(cause, "Control call failed");
+        return new FleetException(ErrorKind.UNCLEAR);
+    }
+
+    private void closeAfterwards() {
+        response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    }
+
+    private void write(int status, byte[] body) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, JSON);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        if (last) {
+            closeAfterwards();
+        }
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/api/Json.java
@@ -0,0 +1,99 @@
+package burlarch.fleet.controller.api;
+
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import burlarch.fleet.error.Problem;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** The small bodies of the control interface, as trees. */
+final class Json {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MOST_PROBLEMS = 16;
+    private static final int LONGEST_TEXT = 256;
+
+    private Json() {
+    }
+
+    /**
+     * The object in a body.
+     *
+     * @throws FleetException if it holds no object
+     */
+    static JsonNode object(byte[] body) {
+        JsonNode tree;
+        try {
+            tree = MAPPER.readTree(body);
+        } catch (IOException broken) {
+            throw new FleetException(ErrorKind.BAD_REQUEST, "", "not JSON");
+        }
+        if (!tree.isObject()) {
+            throw new FleetException(ErrorKind.BAD_REQUEST, "", "not an object");
+        }
+        return tree;
+    }
+
+    /**
+     * A text that has to be there.
+     *
+     * @throws FleetException if it is absent, empty, too long or no text
+     */
+    static String text(JsonNode object, String field) {
+        String text = optionalText(object, field);
+        if (text.isEmpty()) {
+            throw new FleetException(ErrorKind.INVALID, field, "must be a text");
+        }
+        return text;
+    }
+
+    /**
+     * A text, or a number as text; empty where it is absent.
+     *
+     * @throws FleetException if it is too long
+     */
+    static String optionalText(JsonNode object, String field) {
+        String text = object.path(field).asText("");
+        if (text.length() > LONGEST_TEXT) {
+            throw new FleetException(ErrorKind.INVALID, field, "too long");
+        }
+        return text;
+    }
+
+    /**
+     * A whole number that has to be there.
+     *
+     * @throws FleetException if it is absent or no whole number
+     */
+    static long whole(JsonNode object, String field) {
+        JsonNode node = object.path(field);
+        if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+            throw new FleetException(ErrorKind.INVALID, field, "must be a whole number");
+        }
+        return node.asLong();
+    }
+
+    /** What is told of a failure: its kind, and the first of its problems by field and reason. */
+    static byte[] error(FleetException failure) {
+        ObjectNode error = MAPPER.createObjectNode().put("error", failure.kind().name());
+        ArrayNode problems = error.putArray("problems");
+        for (Problem problem : failure.problems()) {
+            if (problems.size() < MOST_PROBLEMS) {
+                problems.addObject().put("field", cut(problem.field())).put("reason", cut(problem.reason()));
+            }
+        }
+        try {
+            return MAPPER.writeValueAsBytes(error);
+        } catch (JsonProcessingException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+    }
+
+    private static String cut(String text) {
+        return text != null && text.length() > LONGEST_TEXT ? text.substring(0, LONGEST_TEXT) : text;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/state/ChangeResult.java
@@ -0,0 +1,46 @@
+package burlarch.fleet.controller.state;
+
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import burlarch.fleet.error.Problem;
+import java.util.List;
+
+/** What a change makes of a state. */
+public sealed interface ChangeResult {
+    /** The state that the change leads to. */
+    record Changed(SystemState state) implements ChangeResult {
+    }
+
+    /** The state stays. {@code problems} is empty but for {@link Answer#INVALID}. */
+    record Unchanged(Answer answer, List<Problem> problems) implements ChangeResult {
+        static final Unchanged ALREADY_TAKEN = new Unchanged(Answer.ALREADY_TAKEN, List.of());
+        static final Unchanged CONFLICT = new Unchanged(Answer.CONFLICT, List.of());
+
+        static Unchanged invalid(String field, String reason) {
+            return new Unchanged(Answer.INVALID, List.of(new Problem(field, reason)));
+        }
+
+        /**
+         * The refusal as a failure of the call.
+         *
+         * @throws IllegalStateException for {@link Answer#ALREADY_TAKEN}, which is a success
+         */
+        public FleetException failure() {
+            return switch (answer) {
+                case CONFLICT -> new FleetException(ErrorKind.CONFLICT);
+                case INVALID -> new FleetException(ErrorKind.INVALID, problems);
+                case ALREADY_TAKEN -> throw new IllegalStateException("taken");
+            };
+        }
+    }
+
+    /** Why a state stays as it is. */
+    enum Answer {
+        /** That very change, or one that makes it needless, is in the state already: a success. */
+        ALREADY_TAKEN,
+        /** Another version is current than the one that the change builds on. */
+        CONFLICT,
+        /** The change breaks a rule. */
+        INVALID
+    }
+}
