--- a/fleet/src/main/java/burlarch/fleet/controller/api/Announcements.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/api/Announcements.java
@@ -2,6 +2,7 @@
 
 import burlarch.coordination.registry.Instance;
 import burlarch.coordination.registry.Instance.ServedModel;
+import burlarch.coordination.registry.InstanceRegistry;
 import burlarch.coordination.registry.InstanceState;
 import burlarch.fleet.error.ErrorKind;
 import burlarch.fleet.error.FleetException;
@@ -26,7 +27,15 @@
         return new Instance(id, Json.text(json, "service"), address(json), Json.optionalText(json, "zone"),
                 Json.optionalText(json, "config_version"), Math.max(0, json.path("capacity").asInt()),
                 state(json), Math.max(0, json.path("warmup_left_ms").asLong()), models(json.path("models")),
-                Json.whole(json, "sequence"));
+                sequence(json));
+    }
+
+    private static long sequence(JsonNode json) {
+        long sequence = Json.whole(json, "sequence");
+        if (sequence < 0 || sequence >= InstanceRegistry.LEFT) {
+            throw new FleetException(ErrorKind.INVALID, "sequence", "out of range");
+        }
+        return sequence;
     }
 
     private static String address(JsonNode json) {
