--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/engine/Delays.java
@@ -0,0 +1,6 @@
+package burlarch.fleet.engine;
+
+/** Runs tasks later, on a thread of its own choice. */
+public interface Delays {
+    void schedule(Runnable task, long delayMillis);
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/engine/EngineAddress.java
@@ -0,0 +1,16 @@
+package burlarch.fleet.engine;
+
+import java.net.URI;
+
+/**
+ * Where a call goes.
+ *
+ * @param instance id of the engine that has to answer, null for a store, which has none
+ * @param address IP:PORT
+ */
+public record EngineAddress(String instance, String address) {
+
+    URI uri(String path) {
+        return URI.create("http://" + address + path);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/engine/EngineClient.java
@@ -0,0 +1,147 @@
+package burlarch.fleet.engine;
+
+import burlarch.coordination.rollout.EngineReport;
+import burlarch.coordination.rollout.OrderResult;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+
+/**
+ * The calls to engines and stores that aren't requests. Failures are values of the answers: the futures don't
+ * fail, and they complete on a thread of the HTTP client.
+ */
+public final class EngineClient {
+    /** The longest wait that a call for events may ask for. */
+    public static final long MAXIMUM_WAIT_MILLIS = 1000;
+
+    private static final long MARGIN_MILLIS = 700;
+    private static final int MAXIMUM_EVENTS_BYTES = 1 << 20;
+    private static final int MAXIMUM_LIST_BYTES = 2 << 20;
+    private static final int MAXIMUM_SMALL_BYTES = 64 << 10;
+
+    private final HttpClient http;
+    private final EngineJson json = new EngineJson();
+
+    /** @param http started, shared with the rest of the process */
+    public EngineClient(HttpClient http) {
+        this.http = http;
+    }
+
+    /**
+     * Events after {@code since}.
+     *
+     * @param waitMillis how long the source may hold the call while there are none, at most
+     *     {@link #MAXIMUM_WAIT_MILLIS}; calls that wait less than 200 ms are priced
+     */
+    public CompletableFuture<KvAnswer> kvEvents(EngineAddress target, long since, long waitMillis) {
+        long wait = Math.max(0, Math.min(MAXIMUM_WAIT_MILLIS, waitMillis));
+        Request request = request(target, "/burlarch/kv-events?since=" + since, wait);
+        String waitText = Long.toString(wait);
+        request.headers(headers -> headers.put("Wait-Ms", waitText));
+        return send(request, new KvCall(json, MAXIMUM_EVENTS_BYTES));
+    }
+
+    /** All that the source keeps. This holds its work up and is priced. */
+    public CompletableFuture<KvAnswer> kvList(EngineAddress target) {
+        return send(request(target, "/burlarch/kv-list", MAXIMUM_WAIT_MILLIS),
+                new KvCall(json, MAXIMUM_LIST_BYTES));
+    }
+
+    /** The engine's report, empty where it gave none. It is priced as a probe. */
+    public CompletableFuture<Optional<EngineReport>> report(EngineAddress target) {
+        return send(request(target, "/burlarch/report", 0), new ReportCall(json));
+    }
+
+    /** Sends an order, once. */
+    public CompletableFuture<OrderResult> order(EngineAddress target, Order order) {
+        Request request = request(target, "/burlarch/order", 0).method("POST")
+                .body(new BytesRequestContent("application/json", json.order(order)));
+        return send(request, new OrderCall());
+    }
+
+    private Request request(EngineAddress target, String path, long waitMillis) {
+        Request request = http.newRequest(target.uri(path)).followRedirects(false)
+                .timeout(waitMillis + MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+        if (target.instance() != null) {
+            request.headers(headers -> headers.put("X-Target-Instance", target.instance()));
+        }
+        return request;
+    }
+
+    private static <T> CompletableFuture<T> send(Request request, EngineCall<T> call) {
+        request.send(call);
+        return call.future();
+    }
+
+    private static final class KvCall extends EngineCall<KvAnswer> {
+        private final EngineJson json;
+
+        KvCall(EngineJson json, int maximumBytes) {
+            super(maximumBytes);
+            this.json = json;
+        }
+
+        @Override
+        KvAnswer meaning(int status, byte[] body) {
+            return switch (status) {
+                case 200 -> parsed(body);
+                case 421 -> KvAnswer.failed(KvAnswer.Status.MISDIRECTED);
+                case 429 -> KvAnswer.failed(KvAnswer.Status.LIMITED);
+                case NONE -> KvAnswer.failed(KvAnswer.Status.NO_ANSWER);
+                default -> KvAnswer.failed(KvAnswer.Status.INVALID);
+            };
+        }
+
+        private KvAnswer parsed(byte[] body) {
+            try {
+                return json.kv(body);
+            } catch (IOException e) {
+                return KvAnswer.failed(KvAnswer.Status.INVALID);
+            }
+        }
+    }
+
+    private static final class ReportCall extends EngineCall<Optional<EngineReport>> {
+        private final EngineJson json;
+
+        ReportCall(EngineJson json) {
+            super(MAXIMUM_SMALL_BYTES);
+            this.json = json;
+        }
+
+        @Override
+        Optional<EngineReport> meaning(int status, byte[] body) {
+            if (status != 200) {
+                return Optional.empty();
+            }
+            try {
+                return Optional.of(json.report(body));
+            } catch (IOException e) {
+                return Optional.empty();
+            }
+        }
+    }
+
+    private static final class OrderCall extends EngineCall<OrderResult> {
+        OrderCall() {
+            super(MAXIMUM_SMALL_BYTES);
+        }
+
+        @Override
+        OrderResult meaning(int status, byte[] body) {
+            return switch (status) {
+                case 200 -> OrderResult.HOLDS;
+                case 202 -> OrderResult.TAKEN;
+                case 400 -> OrderResult.INVALID;
+                case 409 -> OrderResult.BUSY_OR_CHANGED;
+                case 412 -> OrderResult.FENCED;
+                case 421 -> OrderResult.MISDIRECTED;
+                default -> OrderResult.NO_ANSWER;
+            };
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/engine/EventFollower.java
@@ -0,0 +1,141 @@
+package burlarch.fleet.engine;
+
+import burlarch.routing.KvEvents;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+
+/**
+ * Follows the events of a changing set of engines and stores, with one call under way for each of them.
+ * Which process follows which source is decided elsewhere.
+ */
+public final class EventFollower implements AutoCloseable {
+    /** How long a source may hold a call; longer waits cost nothing more. */
+    public static final long WAIT_MILLIS = 900;
+
+    private final EngineClient client;
+    private final KvReader reader;
+    private final Delays delays;
+    private final LongSupplier clock;
+    private final DoubleSupplier random;
+    private final Map<String, Following> followed = new HashMap<>();
+
+    /**
+     * An engine or a store.
+     *
+     * @param name id of the instance, or name of the store's service
+     * @param address IP:PORT
+     * @param store whether it is a store
+     */
+    public record Source(String name, String address, boolean store) {
+    }
+
+    /**
+     * @param reader is called on threads of the client's
+     * @param clock nanoseconds of a monotonic clock
+     * @param random numbers from 0 (inclusive) to 1 (exclusive)
+     */
+    public EventFollower(EngineClient client, KvReader reader, Delays delays, LongSupplier clock,
+            DoubleSupplier random) {
+        this.client = client;
+        this.reader = reader;
+        this.delays = delays;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    /** The whole set of sources from now on; those that stay are not disturbed. */
+    public synchronized void follow(Collection<Source> sources) {
+        Set<Source> wanted = new HashSet<>(sources);
+        for (Iterator<Following> all = followed.values().iterator(); all.hasNext();) {
+            Following following = all.next();
+            if (!wanted.remove(following.source)) {
+                following.stopped = true;
+                all.remove();
+            }
+        }
+        for (Source source : wanted) {
+            Following following = new Following(source);
+            Following replaced = followed.put(source.name(), following);
+            if (replaced != null) {
+                replaced.stopped = true;
+            }
+            delays.schedule(following, 0);
+        }
+    }
+
+    @Override
+    public void close() {
+        follow(Set.of());
+    }
+
+    /** One source: each step begins once the one before is over, so only {@code stopped} is shared. */
+    private final class Following implements Runnable, BiConsumer<KvAnswer, Throwable> {
+        private final Source source;
+        private final EngineAddress address;
+        private final SourceProgress progress;
+        private volatile boolean stopped;
+        private long started;
+        private boolean listing;
+
+        Following(Source source) {
+            this.source = source;
+            this.address = new EngineAddress(source.store() ? null : source.name(), source.address());
+            this.progress = new SourceProgress(source.name(), random, clock.getAsLong());
+        }
+
+        @Override
+        public void run() {
+            if (stopped) {
+                return;
+            }
+            started = clock.getAsLong();
+            listing = progress.listDue(started);
+            CompletableFuture<KvAnswer> call;
+            try {
+                call = listing ? client.kvList(address)
+                        : client.kvEvents(address, progress.since(), WAIT_MILLIS);
+            } catch (RuntimeException e) {
+                call = CompletableFuture.failedFuture(e);
+            }
+            call.whenComplete(this);
+        }
+
+        @Override
+        public void accept(KvAnswer answer, Throwable failure) {
+            if (stopped) {
+                return;
+            }
+            long now = clock.getAsLong();
+            KvAnswer known = answer != null ? answer : KvAnswer.failed(KvAnswer.Status.INVALID);
+            try {
+                handOn(known, now);
+            } finally {
+                long pause = Math.max(0, progress.pauseNanos(now));
+                delays.schedule(this, TimeUnit.NANOSECONDS.toMillis(pause));
+            }
+        }
+
+        private void handOn(KvAnswer answer, long now) {
+            if (listing) {
+                KvEvents list = progress.onListed(answer, now);
+                if (list != null) {
+                    reader.onKvList(list);
+                }
+                return;
+            }
+            KvEvents events = progress.onPolled(answer, started, now);
+            if (events != null) {
+                reader.onKvEvents(events);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/engine/EngineClientTest.java
@@ -0,0 +1,148 @@
+package burlarch.fleet.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.coordination.registry.Instance.ServedModel;
+import burlarch.coordination.rollout.EngineReport;
+import burlarch.coordination.rollout.OrderMode;
+import burlarch.coordination.rollout.OrderResult;
+import burlarch.routing.KvEvents.KvEvent;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class EngineClientTest {
+    private final HttpClient http = new HttpClient();
+    private FakeEngine engine;
+    private EngineClient client;
+    private EngineAddress target;
+
+    @BeforeEach
+    void start() throws Exception {
+        http.start();
+        engine = new FakeEngine();
+        client = new EngineClient(http);
+        target = new EngineAddress("i-1", engine.address());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        engine.close();
+        http.stop();
+    }
+
+    @Test
+    void readsEvents() throws Exception {
+        engine.answers(200, "{\"new\":{\"a\":[1]},"
+                + "\"epoch\":7,\"next_page_token\":120,\"lost\":true,\"events\":["
+                + "[119,\"+\",\"s1\",\"5c1e07a2\",800,\"m\"],"
+                + "[120,\"-\",\"\",\"fedcba9876543210\",128,\"m\",\"more\"]]}");
+
+        KvAnswer answer = events();
+
+        assertThat(answer).isEqualTo(new KvAnswer(KvAnswer.Status.OK, 7, 120, true, List.of(
+                new KvEvent(true, "s1", 0x5c1e07a2L, 800, "m"),
+                new KvEvent(false, "", 0xfedcba9876543210L, 128, "m"))));
+        assertThat(answer.events().get(0).model()).isSameAs(answer.events().get(1).model());
+        assertThat(engine.asked()).isEqualTo("GET /burlarch/kv-events?since=118 900 i-1");
+    }
+
+    @Test
+    void readsList() throws Exception {
+        engine.answers(200, "{\"epoch\":7,\"next_page_token\":120,\"held\":[[\"s1\",\"a\",800,\"m\"]]}");
+
+        KvAnswer answer = client.kvList(target).get(5, TimeUnit.SECONDS);
+
+        assertThat(answer).isEqualTo(new KvAnswer(KvAnswer.Status.OK, 7, 120, false,
+                List.of(new KvEvent(true, "s1", 10, 800, "m"))));
+        assertThat(engine.asked()).isEqualTo("GET /burlarch/kv-list null i-1");
+    }
+
+    @Test
+    void storesHaveNoInstance() throws Exception {
+        engine.answers(200, "{\"epoch\":7,\"next_page_token\":0,\"lost\":false,\"events\":[]}");
+
+        client.kvEvents(new EngineAddress(null, engine.address()), 0, 5000).get(5, TimeUnit.SECONDS);
+
+        assertThat(engine.asked()).isEqualTo("GET /burlarch/kv-events?since=0 1000 null");
+    }
+
+    @Test
+    void tellsFailuresApart() throws Exception {
+        engine.answers(429, "").answers(421, "").answers(500, "").answers(200, "{\"epoch\":7,\"events\":[[1,")
+                .answers(200, "[]").answers(200, " ".repeat((1 << 20) + 1));
+
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.LIMITED);
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.MISDIRECTED);
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.INVALID);
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.INVALID);
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.INVALID);
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.INVALID);
+    }
+
+    @Test
+    void answerToAnotherRequestIsNone() throws Exception {
+        engine.answersAnother(200, "{}", "9c41d07be2a35f68").answersAnother(200, "{}", "9c41d07be2a35f68");
+
+        assertThat(order(Order.ANY_REVISION)).isEqualTo(OrderResult.NO_ANSWER);
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.NO_ANSWER);
+    }
+
+    @Test
+    void deadEngineGivesNoAnswer() throws Exception {
+        engine.close();
+
+        assertThat(events().status()).isEqualTo(KvAnswer.Status.NO_ANSWER);
+        assertThat(order(Order.ANY_REVISION)).isEqualTo(OrderResult.NO_ANSWER);
+        assertThat(client.report(target).get(5, TimeUnit.SECONDS)).isEmpty();
+    }
+
+    @Test
+    void readsReport() throws Exception {
+        engine.answers(200, "{\"stage\":\"hybrid\",\"models\":[{\"name\":\"m\",\"config_version\":3,"
+                + "\"adapters\":[{\"name\":\"x\"}]}],\"busy\":true,\"sequence\":2,\"queued\":1,"
+                + "\"running\":12,\"kv_used\":41000,\"kv_total\":90000,\"handles\":0}");
+
+        assertThat(client.report(target).get(5, TimeUnit.SECONDS)).contains(new EngineReport(
+                List.of(new ServedModel("m", 3)), true, 2, 1, 12, 41000, 90000));
+    }
+
+    @Test
+    void ordersNameHolderFenceAndRevision() throws Exception {
+        engine.answers(202, "").answers(202, "");
+
+        order(Order.ANY_REVISION);
+        order(4);
+
+        String body = "{\"op\":\"config_version\",\"model\":\"m\",\"config_version\":2,\"mode\":\"queue\","
+                + "\"holder\":\"core-1\",\"fence_token\":41";
+        assertThat(engine.asked()).isEqualTo("POST /burlarch/order null i-1 " + body + "}");
+        assertThat(engine.asked()).isEqualTo("POST /burlarch/order null i-1 " + body + ",\"if_revision\":4}");
+    }
+
+    @Test
+    void tellsResultsOfOrdersApart() throws Exception {
+        engine.answers(202, "").answers(200, "").answers(409, "").answers(412, "").answers(400, "")
+                .answers(421, "").answers(503, "");
+
+        assertThat(order(1)).isEqualTo(OrderResult.TAKEN);
+        assertThat(order(1)).isEqualTo(OrderResult.HOLDS);
+        assertThat(order(1)).isEqualTo(OrderResult.BUSY_OR_CHANGED);
+        assertThat(order(1)).isEqualTo(OrderResult.FENCED);
+        assertThat(order(1)).isEqualTo(OrderResult.INVALID);
+        assertThat(order(1)).isEqualTo(OrderResult.MISDIRECTED);
+        assertThat(order(1)).isEqualTo(OrderResult.NO_ANSWER);
+    }
+
+    private KvAnswer events() throws Exception {
+        return client.kvEvents(target, 118, 900).get(5, TimeUnit.SECONDS);
+    }
+
+    private OrderResult order(long revision) throws Exception {
+        return client.order(target, new Order("m", 2, OrderMode.QUEUE, "core-1", 41, revision))
+                .get(5, TimeUnit.SECONDS);
+    }
+}
