--- a/configuration/src/main/java/burlarch/configuration/ConfigurationDocument.java
+++ b/configuration/src/main/java/burlarch/configuration/ConfigurationDocument.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /**
@@ -10,6 +11,11 @@
  */
 public final class ConfigurationDocument {
     static final String VERSION = "config_version";
+    private static final String EXAMPLE = """
+            {"config_version": 1, "routes": [{"name": "r", "hostname": "h", "path_prefix": "/",
+            "route_type": "streaming", "timeout_ms": 1, "traffic_split": [{"service": "s", "weight": 1}]}],
+            "services": [{"name": "s", "engine": {"models": [{"name": "m"}]}}], "limits": {},
+            "tenants": [{"name": "t", "api_keys": ["k"]}]}""";
 
     private final byte[] json;
     private final Configuration configuration;
@@ -62,9 +68,13 @@
         return ConfigurationJson.read(json, Configuration.class);
     }
 
-    /** Does what the first check would: classes load and the validator starts. For an idle moment. */
+    /** Reads a small example, so that classes load and the validator starts: for an idle moment. */
     public static void prepareChecks() {
-        FieldChecks.check(new DeclaredConfiguration(null, null, null, null, null));
+        try {
+            read(EXAMPLE.getBytes(StandardCharsets.UTF_8));
+        } catch (InvalidConfiguration e) {
+            throw new AssertionError("the example is valid", e);
+        }
     }
 
     /** The document as sent, but for white space: the caller's own copy. */
--- a/configuration/src/test/java/burlarch/configuration/ConfigurationDocumentTest.java
+++ b/configuration/src/test/java/burlarch/configuration/ConfigurationDocumentTest.java
@@ -1,6 +1,7 @@
 package burlarch.configuration;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import burlarch.configuration.Configuration.Limits;
@@ -188,6 +189,11 @@
         assertThat(route.targetLatencyMillis()).isEqualTo(70);
     }
 
+    @Test
+    void preparesItsChecks() {
+        assertThatCode(ConfigurationDocument::prepareChecks).doesNotThrowAnyException();
+    }
+
     @Test
     void followsLowerVersionsOnly() throws InvalidConfiguration {
         ConfigurationDocument document = ConfigurationDocument.read(Scenarios.bytes("base.json"));
