--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/registry/InstanceViewsTest.java
@@ -0,0 +1,74 @@
+package burlarch.coordination.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class InstanceViewsTest {
+    private final InstanceViews views = new InstanceViews();
+
+    private static Instance instance(InstanceState state, long sequence) {
+        return new Instance("i-1", "models", "10.0.0.1:80", "zone", "v1", 8, state, 0, List.of(), sequence);
+    }
+
+    private void told(String controller, InstanceState state, long sequence) {
+        views.onUpdate(controller, false, List.of(instance(state, sequence)));
+    }
+
+    private InstanceState state() {
+        return views.instances().isEmpty() ? null : views.instances().get(0).state();
+    }
+
+    @Test
+    void theNewestAnnouncementWinsWhoeverTellsIt() {
+        told("a", InstanceState.DRAINING, 5);
+        told("b", InstanceState.READY, 4);
+        assertThat(state()).isEqualTo(InstanceState.DRAINING);
+    }
+
+    @Test
+    void aControllerThatComesBackEmptyTakesNothingAway() {
+        told("a", InstanceState.READY, 4);
+        views.onControllerLost("a");
+        views.onUpdate("a", true, List.of());
+        assertThat(state()).isEqualTo(InstanceState.READY);
+    }
+
+    @Test
+    void silenceAtOneControllerIsNotBelievedWhileAnotherHoldsTheInstanceLive() {
+        told("a", InstanceState.READY, 4);
+        told("b", InstanceState.GONE, 4);
+        assertThat(state()).isEqualTo(InstanceState.READY);
+        told("a", InstanceState.GONE, 4);
+        assertThat(state()).isNull();
+    }
+
+    @Test
+    void oneThatHasLeftDoesNotComeBack() {
+        told("a", InstanceState.READY, 4);
+        told("b", InstanceState.GONE, InstanceRegistry.LEFT);
+        assertThat(state()).isNull();
+        told("a", InstanceState.READY, 5);
+        assertThat(state()).isNull();
+    }
+
+    @Test
+    void aMarkOfLoadingHoldsAtTheSameSequenceAndEndsWithItsController() {
+        told("a", InstanceState.READY, 4);
+        told("b", InstanceState.LOADING, 4);
+        assertThat(state()).isEqualTo(InstanceState.LOADING);
+        told("b", InstanceState.READY, 4);
+        assertThat(state()).isEqualTo(InstanceState.READY);
+        told("b", InstanceState.LOADING, 4);
+        views.onControllerLost("b");
+        assertThat(state()).isEqualTo(InstanceState.READY);
+    }
+
+    @Test
+    void aMarkOfLoadingEndsWithTheOnlyControllerThatToldOfTheInstance() {
+        told("b", InstanceState.LOADING, 4);
+        views.onControllerLost("b");
+        assertThat(state()).isEqualTo(InstanceState.READY);
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/controller/AcceptorKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/AcceptorKeeper.java
@@ -44,15 +44,26 @@
         List<Member> members = decided.members();
         Optional<List<Member>> next = changing || register.acceptors().isChanging()
                 ? Optional.empty() : plan.next(members, candidates(), loop.nanoTime());
-        if (next.isEmpty() || decided.value() == null) {
+        boolean founded = decided.value() != null;
+        if (founded && next.isEmpty()) {
             turnsWaited = 0;
             return;
         }
-        if (turnsWaited++ >= rank() * TURNS_BETWEEN_CONTROLLERS) {
-            change(members, next.get());
+        if (turnsWaited++ >= rank() * TURNS_BETWEEN_CONTROLLERS && !changing) {
+            if (founded) {
+                change(members, next.get());
+            } else {
+                found();
+            }
         }
     }
 
+    /** The first value: an empty state, so that the set can grow before the first configuration. */
+    private void found() {
+        changing = true;
+        register.found().whenComplete((state, failure) -> changing = false);
+    }
+
     private void change(List<Member> members, List<Member> next) {
         changing = true;
         register.changeMembers(members, next).whenComplete((state, failure) -> {
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -0,0 +1,92 @@
+package burlarch.fleet.controller;
+
+import burlarch.transport.Connection;
+import burlarch.transport.NodeLoop;
+import burlarch.transport.NodeMessage;
+import burlarch.transport.NodeMessage.ControllerStatus;
+import burlarch.transport.NodeMessage.Decided;
+import burlarch.transport.NodeTransport;
+
+/** Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the loop. */
+final class ControllerMessages implements NodeTransport.Listener {
+    /** Role that routers give in their Hello. */
+    static final String ROUTER = "router";
+    /** Role that controllers give in their Hello. */
+    static final String CONTROLLER = "controller";
+
+    private static final long STATUS_NANOS = 300_000_000;
+
+    private final NodeLoop loop;
+    private ControllerParts parts;
+
+    ControllerMessages(NodeLoop loop) {
+        this.loop = loop;
+    }
+
+    /** To be called once, before any connection is up. */
+    void start(ControllerParts controllerParts) {
+        parts = controllerParts;
+        sendStatus();
+    }
+
+    @Override
+    public void onUp(Connection connection) {
+        if (connection.peer().role().equals(ROUTER)) {
+            parts.publisher().onRouterUp(connection, parts.peers().knownAddresses());
+            parts.reads().onRouterUp(connection);
+        } else if (connection.peer().role().equals(CONTROLLER)) {
+            parts.peers().onUp(connection);
+            connection.send(status());
+        }
+    }
+
+    @Override
+    public void onDown(Connection connection) {
+        if (connection.peer().role().equals(ROUTER)) {
+            parts.publisher().onRouterDown(connection, parts.peers().knownAddresses());
+            parts.reads().onRouterDown(connection);
+        } else {
+            parts.peers().onDown(connection);
+            parts.instances().onPeerLost();
+        }
+    }
+
+    @Override
+    public void onMessage(Connection connection, NodeMessage message) {
+        if (message instanceof NodeMessage.Register register) {
+            parts.driver().onMessage(connection, register.message());
+        } else if (message instanceof Decided decided) {
+            parts.decided().adopt(decided.ballot(), decided.value(), false);
+        } else if (message instanceof ControllerStatus status) {
+            onStatus(connection, status);
+        } else if (message instanceof NodeMessage.FetchDecided && parts.decided().value() != null) {
+            connection.send(new Decided(parts.decided().ballot(), parts.decided().value()));
+        } else if (message instanceof NodeMessage.Announced announced) {
+            parts.instances().onPeerAnnounced(announced.instances());
+        } else if (message instanceof NodeMessage.ConfigurationAck ack) {
+            parts.publisher().onConfigurationAck(connection, ack.version());
+        } else if (message instanceof NodeMessage.InstancesAck ack) {
+            parts.publisher().onInstancesAck(connection, ack.revision());
+        }
+    }
+
+    private void onStatus(Connection connection, ControllerStatus status) {
+        int known = parts.peers().knownAddresses().size();
+        parts.peers().learn(status.controllers());
+        if (parts.peers().knownAddresses().size() != known) {
+            parts.publisher().sendFleet(parts.peers().knownAddresses());
+        }
+        if (status.decided().compareTo(parts.decided().ballot()) > 0) {
+            connection.send(new NodeMessage.FetchDecided());
+        }
+    }
+
+    private void sendStatus() {
+        parts.peers().sendAll(status());
+        loop.schedule(STATUS_NANOS, this::sendStatus);
+    }
+
+    private ControllerStatus status() {
+        return new ControllerStatus(parts.decided().ballot(), parts.peers().knownAddresses());
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/controller/InstanceFeed.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/InstanceFeed.java
@@ -14,6 +14,7 @@
  */
 final class InstanceFeed {
     private static final long BATCH_NANOS = 250_000_000;
+    private static final long EXPIRY_CHECK_NANOS = 500_000_000;
 
     private final NodeLoop loop;
     private final InstanceRegistry registry;
@@ -27,6 +28,7 @@
         this.registry = registry;
         this.peers = peers;
         this.publisher = publisher;
+        loop.schedule(EXPIRY_CHECK_NANOS, this::expire);
     }
 
     /** @return whether others are to see a change; they were told then */
@@ -70,6 +72,17 @@
         publisher.sendInstances();
     }
 
+    /** A controller is out of touch: its instances need time to turn to another. */
+    void onPeerLost() {
+        registry.restartGrace(loop.nanoTime());
+    }
+
+    private void expire() {
+        registry.expire(loop.nanoTime());
+        publisher.sendInstances();
+        loop.schedule(EXPIRY_CHECK_NANOS, this::expire);
+    }
+
     /** The registry's revision. */
     long revision() {
         return registry.revision();
--- a/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
@@ -73,6 +73,13 @@
         return driver.propose(current -> Decision.keep(), PROPOSAL_NANOS).thenApply(this::adopt);
     }
 
+    /** Writes an empty state where the register holds none. */
+    CompletableFuture<SystemState> found() {
+        return driver.propose(current -> current != null ? Decision.keep()
+                : new Decision.Write(new RegisterValue(decided.members(),
+                        SystemStateCodec.encode(SystemState.EMPTY))), PROPOSAL_NANOS).thenApply(this::adopt);
+    }
+
     /** Changes the acceptors; the state stays. */
     CompletableFuture<SystemState> changeMembers(List<Member> from, List<Member> to) {
         return driver.propose(current -> {
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/node/Shutdown.java
@@ -0,0 +1,12 @@
+package burlarch.fleet.node;
+
+/** What a process does between SIGTERM and its end. */
+public final class Shutdown {
+    private Shutdown() {
+    }
+
+    /** Runs the task when the process is told to end; the process ends when the task has. */
+    public static void onSignal(Runnable task) {
+        Runtime.getRuntime().addShutdownHook(new Thread(task, "shutdown"));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -0,0 +1,120 @@
+package burlarch.fleet.router;
+
+import burlarch.coordination.registry.InstanceViews;
+import burlarch.settings.Addresses;
+import burlarch.transport.Connection;
+import burlarch.transport.NodeMessage;
+import burlarch.transport.NodeMessage.ConfigurationAck;
+import burlarch.transport.NodeMessage.ConfigurationUpdate;
+import burlarch.transport.NodeMessage.FleetUpdate;
+import burlarch.transport.NodeMessage.InstancesAck;
+import burlarch.transport.NodeMessage.InstancesUpdate;
+import burlarch.transport.NodeTransport;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.tinylog.Logger;
+
+/**
+ * A router's streams from all controllers: the newest configuration wins, instances are combined, and what has been
+ * put into effect is acknowledged. Lives on the loop.
+ */
+final class ControllerLinks implements NodeTransport.Listener {
+    /** Controllers beyond this number are passed over. */
+    private static final int MOST_CONTROLLERS = 32;
+
+    /** Puts into effect what controllers tell; each call returns once it is in effect. */
+    interface Effects {
+        /** @return whether the configuration could be read and is in force */
+        boolean onConfiguration(long version, byte[] json);
+
+        void onInstances(InstanceViews views);
+
+        void onRouters(int live);
+    }
+
+    private final Effects effects;
+    private final InstanceViews views = new InstanceViews();
+    private final Map<Connection, Integer> routersSeen = new HashMap<>();
+    private final Set<String> controllers = new HashSet<>();
+    private NodeTransport transport;
+    private long version;
+    private boolean toldInstances;
+
+    ControllerLinks(Effects effects) {
+        this.effects = effects;
+    }
+
+    /** Connects to the first controllers; to be called once, before any connection is up. */
+    void start(NodeTransport ownTransport, Collection<String> seeds) {
+        transport = ownTransport;
+        learn(seeds);
+    }
+
+    private void learn(Collection<String> addresses) {
+        for (String address : addresses) {
+            if (controllers.size() < MOST_CONTROLLERS && controllers.add(address)) {
+                transport.connect(Addresses.parse(address));
+            }
+        }
+    }
+
+    /** Whether a configuration is in force and instances were told: requests can be served. */
+    boolean isInformed() {
+        return version > 0 && toldInstances;
+    }
+
+    @Override
+    public void onUp(Connection connection) {
+        Logger.info("controller {} connected", connection.peer().nodeName());
+        routersSeen.put(connection, 1);
+    }
+
+    @Override
+    public void onMessage(Connection connection, NodeMessage message) {
+        if (message instanceof ConfigurationUpdate update) {
+            onConfiguration(connection, update);
+        } else if (message instanceof InstancesUpdate update) {
+            views.onUpdate(connection.peer().nodeName(), update.whole(), update.instances());
+            toldInstances = true;
+            effects.onInstances(views);
+            connection.send(new InstancesAck(update.revision()));
+        } else if (message instanceof FleetUpdate update) {
+            learn(update.controllers());
+            routersSeen.put(connection, update.routers());
+            tellRouters();
+        }
+    }
+
+    private void onConfiguration(Connection connection, ConfigurationUpdate update) {
+        if (update.version() > version) {
+            if (!effects.onConfiguration(update.version(), update.json())) {
+                return;
+            }
+            version = update.version();
+            Logger.info("configuration {} in force", version);
+            routersSeen.keySet().forEach(other -> other.send(new ConfigurationAck(version)));
+        } else {
+            connection.send(new ConfigurationAck(version));
+        }
+    }
+
+    @Override
+    public void onDown(Connection connection) {
+        Logger.info("controller {} lost", connection.peer().nodeName());
+        if (routersSeen.remove(connection) != null) {
+            views.onControllerLost(connection.peer().nodeName());
+            effects.onInstances(views);
+        }
+    }
+
+    private void tellRouters() {
+        int most = 1;
+        for (int seen : routersSeen.values()) {
+            most = Math.max(most, seen);
+        }
+        effects.onRouters(most);
+    }
+}
