--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/register/PromiseTally.java
@@ -0,0 +1,64 @@
+package burlarch.coordination.register;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Phase one of one ballot: who promised, and the newest value among what they accepted.
+ *
+ * <p>The set whose quorum counts is the one that the newest value names; the believed set only until a value
+ * was seen.
+ */
+final class PromiseTally {
+    private final Map<String, Ballot> acceptedBy = new HashMap<>();
+    private AcceptorSet set;
+    private Ballot highest = Ballot.ZERO;
+    private RegisterValue value;
+
+    PromiseTally(AcceptorSet believed) {
+        set = believed;
+    }
+
+    /** Counts a granted promise. */
+    void grant(RegisterMessage.Promise promise) {
+        acceptedBy.put(promise.storage(), promise.accepted());
+        if (promise.accepted().compareTo(highest) > 0) {
+            highest = promise.accepted();
+            value = promise.value();
+            set = AcceptorSet.of(value.members());
+        }
+    }
+
+    AcceptorSet set() {
+        return set;
+    }
+
+    Ballot highest() {
+        return highest;
+    }
+
+    RegisterValue value() {
+        return value;
+    }
+
+    boolean answered(String storage) {
+        return acceptedBy.containsKey(storage);
+    }
+
+    boolean isComplete() {
+        return set.hasQuorum(acceptedBy.keySet());
+    }
+
+    /** Whether the newest value is known to be chosen, as a quorum reported that very ballot. */
+    boolean isConfirmed() {
+        Set<String> holders = new HashSet<>();
+        for (Map.Entry<String, Ballot> entry : acceptedBy.entrySet()) {
+            if (entry.getValue().equals(highest)) {
+                holders.add(entry.getKey());
+            }
+        }
+        return value != null && set.hasQuorum(holders);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/register/Proposal.java
@@ -0,0 +1,277 @@
+package burlarch.coordination.register;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * One change of the register, driven through both phases by whoever wants it. No log and no leader: each
+ * ballot reads the newest value at a quorum and writes the next one there.
+ *
+ * <p><b>Rules.</b> C(v) is the {@link AcceptorSet} that value v names.
+ * <ol>
+ * <li>A ballot that writes on top of a value w has promises from a quorum of C(w), and none of those
+ *     acceptors has accepted anything newer than w. A proposal that meets a value with another set goes on
+ *     with that one.
+ * <li>A value v is chosen once a quorum of C(v) has accepted it at one ballot.
+ * <li>A value names the set of the value that it is written on, with two exceptions: on a settled set M, the
+ *     changing set (M, N); on a changing set (M, N), the settled N. For both, the value below has to be known
+ *     as chosen; where it isn't, it is written again unchanged first.
+ * <li>Replies count by the identity of the disk, and only those of acceptors in the set. A disk that comes
+ *     back empty has a new identity: what it forgot is never counted on.
+ * <li>The first value names the believed set of its proposer, which must be the same for all proposers: the
+ *     acceptors of the first start. Any later belief must come out of the register (any value that was read,
+ *     however old).
+ * <li>A ballot belongs to one proposal: no two proposals have one name, also after a restart.
+ * </ol>
+ *
+ * <p><b>Why one chain.</b> Claim: if b is chosen, every write at a ballot c above b is on a value of ballot b
+ * or above. Suppose c is the lowest that breaks this, writing on a below b. Let d be the last chosen ballot
+ * not above a (or none), and take for b the first chosen one above a. By the choice of c, all writes in (d,
+ * b] go back to d through writes in that span, and none but d is chosen among those that they are written on,
+ * so by rule 3 a set changes in that span only directly on top of d. Where d has a settled set M, all sets of
+ * the span are M or (M, any); where it has (M, N), all are (M, N) or N. So all their quorums, those of a and
+ * b included, hold a majority of one common list (M, or N), and an acceptor is in both the promises of c,
+ * given by a quorum of C(a), and the quorum that chose b. It accepted b before its promise, and so reported b
+ * or above, against rule 1, or was asked to after it, and refused. With the first value, the common list is
+ * that of rule 5. Nothing in this hangs on how many acceptors change at once, on who is known to be dead, or
+ * on how old a belief is; one change at a time keeps the quorums small.
+ *
+ * <p><b>What an end means.</b> A value that was accepted somewhere but not chosen may be found and completed
+ * by any later ballot, until a higher one is chosen. So a change may be called refused only after
+ * {@link Decision#seal}; this proposal seals by itself once it has sent its own write.
+ *
+ * <p>Pure: time comes in nanoseconds, randomness from the outside. Not safe for use by several threads.
+ */
+public final class Proposal {
+    private static final long FIRST_RESEND_NANOS = 400_000_000L;
+    private static final long LONGEST_RESEND_NANOS = 1_600_000_000L;
+
+    private enum Phase { IDLE, PREPARING, ACCEPTING, DONE }
+
+    private final String name;
+    private final RegisterChange change;
+    private final long deadline;
+    private final Backoff backoff;
+    private final List<Output> outputs = new ArrayList<>();
+    private final Set<String> contacted = new HashSet<>();
+    private final Set<String> acceptedBy = new HashSet<>();
+
+    private Phase phase = Phase.IDLE;
+    private AcceptorSet believed;
+    private long round;
+    private long call;
+    private Ballot ballot;
+    private PromiseTally promises;
+    private WritePlan plan;
+    private RegisterMessage request;
+    private Ballot chosenBallot = Ballot.ZERO;
+    private Decision setChange;
+    private boolean changeSent;
+    private boolean refused;
+    private long wakeAt;
+    private long resendNanos;
+
+    /**
+     * Prepares one change.
+     *
+     * @param name of this proposal alone, never used before, also not before a restart
+     * @param roundHint the highest round known of; only saves conflicts
+     * @param believed acceptors to begin with: the first start's, or those of any value of the register
+     * @param deadline when to give up, on the clock of {@code now}
+     */
+    public Proposal(String name, long roundHint, List<Member> believed, RegisterChange change, long deadline,
+            RandomGenerator random) {
+        this.name = name;
+        this.round = roundHint;
+        this.believed = AcceptorSet.of(believed);
+        this.change = change;
+        this.deadline = deadline;
+        this.backoff = new Backoff(random);
+        this.call = random.nextLong() >>> 1;
+    }
+
+    /** Begins; to be called once. */
+    public List<Output> start(long now) {
+        outputs.add(new Output.Timer(deadline));
+        prepare(now);
+        return take();
+    }
+
+    /** Takes a reply; those to other proposals, late and repeated ones do no harm. */
+    public List<Output> onMessage(RegisterMessage message, long now) {
+        if (phase == Phase.IDLE || expires(now)) {
+            return take();
+        }
+        if (message instanceof RegisterMessage.Promise promise) {
+            onPromise(promise, now);
+        } else if (message instanceof RegisterMessage.Accepted accepted) {
+            onAccepted(accepted, now);
+        }
+        return take();
+    }
+
+    /** To be called at the times asked for; calls at other times do no harm. */
+    public List<Output> onTimer(long now) {
+        if (phase == Phase.IDLE || expires(now) || now - wakeAt < 0) {
+            return take();
+        }
+        if (refused) {
+            prepare(now);
+        } else {
+            resend(now);
+        }
+        return take();
+    }
+
+    /** The highest round met: a hint for the next proposal. */
+    public long round() {
+        return round;
+    }
+
+    private void prepare(long now) {
+        phase = Phase.PREPARING;
+        ballot = new Ballot(++round, name);
+        promises = new PromiseTally(believed);
+        begin(new RegisterMessage.Prepare(++call, ballot), believed, now);
+    }
+
+    private void accept(WritePlan next, long now) {
+        phase = Phase.ACCEPTING;
+        plan = next;
+        changeSent |= next.carriesChange();
+        acceptedBy.clear();
+        begin(new RegisterMessage.Accept(++call, ballot, next.value()), writtenSet(), now);
+    }
+
+    private void begin(RegisterMessage message, AcceptorSet set, long now) {
+        request = message;
+        refused = false;
+        contacted.clear();
+        contact(set);
+        resendNanos = FIRST_RESEND_NANOS;
+        wake(now + resendNanos);
+    }
+
+    private void contact(AcceptorSet set) {
+        for (Member member : set.all()) {
+            if (contacted.add(member.storage())) {
+                outputs.add(new Output.Send(member, request));
+            }
+        }
+    }
+
+    private void resend(long now) {
+        for (Member member : (phase == Phase.PREPARING ? promises.set() : writtenSet()).all()) {
+            boolean answered = phase == Phase.PREPARING ? promises.answered(member.storage())
+                    : acceptedBy.contains(member.storage());
+            if (!answered) {
+                outputs.add(new Output.Send(member, request));
+            }
+        }
+        resendNanos = Math.min(2 * resendNanos, LONGEST_RESEND_NANOS);
+        wake(now + resendNanos);
+    }
+
+    private void onPromise(RegisterMessage.Promise promise, long now) {
+        round = Math.max(round, promise.promised().round());
+        if (phase != Phase.PREPARING || promise.call() != call || !contacted.contains(promise.storage())) {
+            return;
+        }
+        if (!promise.granted()) {
+            onRefusal(now);
+        } else if (promise.promised().equals(ballot)) {
+            promises.grant(promise);
+            contact(promises.set());
+            if (promises.isComplete()) {
+                onQuorumPromised(now);
+            }
+        }
+    }
+
+    private void onQuorumPromised(long now) {
+        believed = promises.set();
+        WritePlan next = plan();
+        if (next.step() == WritePlan.Step.REPORT) {
+            finish(new ProposalResult.Chosen(promises.highest(), promises.value(), next.decision()));
+        } else {
+            accept(next, now);
+        }
+    }
+
+    private WritePlan plan() {
+        RegisterValue current = promises.value();
+        if (current == null) {
+            return WritePlan.onEmpty(believed, change);
+        }
+        boolean ownChosen = promises.highest().equals(chosenBallot);
+        if (ownChosen && setChange != null) {
+            return WritePlan.settling(current, setChange);
+        }
+        setChange = null;
+        return WritePlan.on(current, ownChosen || promises.isConfirmed(), !changeSent, change);
+    }
+
+    private void onAccepted(RegisterMessage.Accepted accepted, long now) {
+        round = Math.max(round, accepted.promised().round());
+        if (phase != Phase.ACCEPTING || accepted.call() != call || !contacted.contains(accepted.storage())) {
+            return;
+        }
+        if (!accepted.granted()) {
+            onRefusal(now);
+        } else if (accepted.promised().equals(ballot)) {
+            acceptedBy.add(accepted.storage());
+            if (writtenSet().hasQuorum(acceptedBy)) {
+                onChosen(now);
+            }
+        }
+    }
+
+    private void onChosen(long now) {
+        if (plan.step() == WritePlan.Step.FINISH) {
+            finish(new ProposalResult.Chosen(ballot, plan.value(), plan.decision()));
+            return;
+        }
+        chosenBallot = ballot;
+        setChange = plan.step() == WritePlan.Step.CHANGE_SET ? plan.decision() : null;
+        believed = writtenSet();
+        prepare(now);
+    }
+
+    /** The ballot may yet get its quorum from others; if it doesn't within a pause, a higher one follows. */
+    private void onRefusal(long now) {
+        if (!refused) {
+            refused = true;
+            wake(now + backoff.next());
+        }
+    }
+
+    private boolean expires(long now) {
+        if (phase != Phase.DONE && now - deadline >= 0) {
+            finish(changeSent ? new ProposalResult.Unknown() : new ProposalResult.NotStarted());
+        }
+        return phase == Phase.DONE;
+    }
+
+    private void finish(ProposalResult result) {
+        phase = Phase.DONE;
+        outputs.add(new Output.Done(result));
+    }
+
+    private AcceptorSet writtenSet() {
+        return AcceptorSet.of(plan.value().members());
+    }
+
+    private void wake(long at) {
+        wakeAt = at;
+        outputs.add(new Output.Timer(at));
+    }
+
+    private List<Output> take() {
+        List<Output> taken = List.copyOf(outputs);
+        outputs.clear();
+        return taken;
+    }
+}
--- a/coordination/src/main/java/burlarch/coordination/register/RegisterValue.java
+++ b/coordination/src/main/java/burlarch/coordination/register/RegisterValue.java
@@ -5,7 +5,8 @@
 /**
  * What the register holds: its own acceptor set beside the payload, so that both change by one rule.
  *
- * @param members the acceptors; empty before the first admission
+ * @param members the acceptors; while the set changes, those that join and leave are marked: read them by
+ *     {@link AcceptorSet}
  * @param payload opaque to the register
  */
 public record RegisterValue(List<Member> members, byte[] payload) {
--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/register/WritePlan.java
@@ -0,0 +1,81 @@
+package burlarch.coordination.register;
+
+/**
+ * What a proposal does with the value that phase one showed.
+ *
+ * @param value to be written; null where nothing is
+ * @param decision of the change that this rests on; null where the change was not asked yet
+ * @param step what the write leads to
+ */
+record WritePlan(RegisterValue value, Decision decision, Step step) {
+    enum Step {
+        /** Nothing to write: the value read is the result. */
+        REPORT,
+        /** Writes somebody else's value again, so that it is chosen; then phase one anew. */
+        CONFIRM,
+        /** Writes the value with both sets in force; then phase one anew, for the settled one. */
+        CHANGE_SET,
+        /** The last write: once chosen, the proposal is done. */
+        FINISH
+    }
+
+    /** Whether the write brings the proposal's own change before an acceptor. */
+    boolean carriesChange() {
+        return decision instanceof Decision.Write;
+    }
+
+    /**
+     * Plans on a value that is there.
+     *
+     * @param current value that phase one showed
+     * @param chosen whether it is known to be chosen
+     * @param mayReport whether a chosen value may be reported without writing it again
+     */
+    static WritePlan on(RegisterValue current, boolean chosen, boolean mayReport, RegisterChange change) {
+        AcceptorSet set = AcceptorSet.of(current.members());
+        if (set.isChanging()) {
+            return new WritePlan(chosen ? settled(current) : current, null, Step.CONFIRM);
+        }
+        Decision decision = change.decide(current);
+        if (decision instanceof Decision.Write write) {
+            return writing(current, set, chosen, write);
+        }
+        boolean sealing = ((Decision.Keep) decision).sealing();
+        return chosen && mayReport && !sealing
+                ? new WritePlan(null, decision, Step.REPORT)
+                : new WritePlan(current, decision, Step.FINISH);
+    }
+
+    /** Plans on an empty register. */
+    static WritePlan onEmpty(AcceptorSet believed, RegisterChange change) {
+        Decision decision = change.decide(null);
+        if (decision instanceof Decision.Write write) {
+            RegisterValue first = new RegisterValue(believed.settled(), write.next().payload());
+            return new WritePlan(first, decision, Step.FINISH);
+        }
+        return new WritePlan(null, decision, Step.REPORT);
+    }
+
+    /** Plans the end of one's own change of the set, whose value is chosen and still the newest. */
+    static WritePlan settling(RegisterValue current, Decision decision) {
+        return new WritePlan(settled(current), decision, Step.FINISH);
+    }
+
+    private static WritePlan writing(RegisterValue current, AcceptorSet set, boolean chosen,
+            Decision.Write write) {
+        RegisterValue next = write.next();
+        if (set.sameAcceptors(next.members())) {
+            return new WritePlan(next, write, Step.FINISH);
+        }
+        if (!chosen) {
+            return new WritePlan(current, null, Step.CONFIRM);
+        }
+        RegisterValue both = new RegisterValue(AcceptorSet.change(current.members(), next.members()),
+                next.payload());
+        return new WritePlan(both, write, Step.CHANGE_SET);
+    }
+
+    private static RegisterValue settled(RegisterValue changing) {
+        return new RegisterValue(AcceptorSet.of(changing.members()).settled(), changing.payload());
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/register/ProposalTest.java
@@ -0,0 +1,216 @@
+package burlarch.coordination.register;
+
+import static burlarch.coordination.register.LocalRegister.DEADLINE;
+import static burlarch.coordination.register.LocalRegister.member;
+import static burlarch.coordination.register.LocalRegister.members;
+import static burlarch.coordination.register.LocalRegister.value;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ProposalTest {
+    private static final List<Member> THREE = members("a", "b", "c");
+    private static final RegisterChange READ = current -> Decision.keep();
+    private static final RegisterChange SEAL = current -> Decision.seal();
+
+    private final LocalRegister register = new LocalRegister("a", "b", "c", "d");
+
+    @Test
+    void writesTheFirstValueWithTheBelievedSetAndReadsItBack() {
+        RegisterChange first = current -> {
+            assertThat(current).isNull();
+            return write(value(List.of(), 1));
+        };
+        assertThat(chosen(first).value().members()).isEqualTo(THREE);
+
+        ProposalResult.Chosen read = chosen(READ);
+        assertThat(read.value().payload()).containsExactly(1);
+        assertThat(register.accepts).as("a read of a confirmed value writes nothing").isEqualTo(3);
+    }
+
+    @Test
+    void readsAnEmptyRegisterAsEmpty() {
+        assertThat(chosen(READ).value()).isNull();
+    }
+
+    @Test
+    void anEqualDecisionOfAllIsWrittenAgainWhenItSeals() {
+        chosen(writing(1));
+        int before = register.accepts;
+        Ballot written = register.acceptors.get("a").state().accepted();
+
+        assertThat(chosen(SEAL).ballot()).isGreaterThan(written);
+        assertThat(register.accepts).isGreaterThan(before);
+    }
+
+    @Test
+    void worksWithoutAMinority() {
+        register.down.add("c");
+        assertThat(chosen(writing(1)).value().payload()).containsExactly(1);
+    }
+
+    @Test
+    void hasNotStartedWithoutAQuorumOfPromises() {
+        register.down.addAll(List.of("b", "c"));
+        assertThat(run(writing(1))).isEqualTo(new ProposalResult.NotStarted());
+    }
+
+    @Test
+    void isUnknownOnceItsWriteWasSent() {
+        Proposal proposal = register.proposal(THREE, writing(1));
+        List<Output> accepts = prepared(proposal);
+        register.down.addAll(List.of("a", "b", "c"));
+        assertThat(register.drive(proposal, accepts)).isEqualTo(new ProposalResult.Unknown());
+    }
+
+    @Test
+    void aWriteWithoutQuorumIsCompletedByTheNextOnTop() {
+        writeAt("a", 1);
+        register.down.add("b");
+
+        List<RegisterValue> seen = new ArrayList<>();
+        ProposalResult.Chosen result = chosen(current -> {
+            seen.add(current);
+            return Decision.keep();
+        });
+        assertThat(seen.get(0).payload()).containsExactly(1);
+        assertThat(result.value().payload()).containsExactly(1);
+        assertThat(register.acceptors.get("c").state().value().payload()).containsExactly(1);
+    }
+
+    @Test
+    void meetsItsOwnWriteAgainAfterAConflictAndSealsIt() {
+        Proposal proposal = register.proposal(THREE, addingOne());
+        List<Output> accepts = prepared(proposal);
+        List<Output> late = new ArrayList<>();
+        for (Output output : accepts) {
+            if (output instanceof Output.Send send && send.member().storage().equals("a")) {
+                late.addAll(proposal.onMessage(register.answer(send), 0));
+            } else if (!(output instanceof Output.Send)) {
+                late.add(output);
+            }
+        }
+        chosen(READ);
+        ProposalResult.Chosen result = (ProposalResult.Chosen) register.drive(proposal, late);
+        assertThat(result.value().payload()).containsExactly(1);
+        assertThat(result.decision()).isEqualTo(Decision.keep());
+        assertThat(result.ballot().proposer()).as("written again by itself").isEqualTo("p1");
+    }
+
+    @Test
+    void goesOnPastOneWhoPromisedMoreThoughAnotherIsDown() {
+        Acceptor acceptor = register.acceptors.get("a");
+        acceptor.adopt(acceptor.onPrepare(new RegisterMessage.Prepare(1, new Ballot(50, "z"))).state());
+        register.down.add("c");
+        ProposalResult.Chosen result = chosen(writing(1));
+        assertThat(result.ballot().round()).isGreaterThanOrEqualTo(50);
+    }
+
+    @Test
+    void repliesUnderUnknownIdentitiesDoNotCount() {
+        Proposal proposal = register.proposal(THREE, writing(1));
+        RegisterMessage.Prepare prepare = null;
+        for (Output output : proposal.start(0)) {
+            if (output instanceof Output.Send send) {
+                prepare = (RegisterMessage.Prepare) send.message();
+            }
+        }
+        for (String storage : List.of("a", "x", "y")) {
+            assertThat(proposal.onMessage(new RegisterMessage.Promise(prepare.call(), storage, true,
+                    prepare.ballot(), Ballot.ZERO, null), 1)).isEmpty();
+        }
+        assertThat(proposal.onTimer(DEADLINE))
+                .containsExactly(new Output.Done(new ProposalResult.NotStarted()));
+        assertThat(proposal.onTimer(DEADLINE + 1)).isEmpty();
+    }
+
+    @Test
+    void theSetChangesThroughBothSetsAndLaterReadersFollow() {
+        chosen(writing(1));
+        List<Member> next = members("a", "b", "d");
+        ProposalResult.Chosen result = chosen(current -> write(new RegisterValue(next, new byte[] {2})));
+        assertThat(result.value().members()).isEqualTo(next);
+        assertThat(result.value().payload()).containsExactly(2);
+        assertThat(result.decision()).isInstanceOf(Decision.Write.class);
+
+        register.down.add("a");
+        ProposalResult.Chosen read = (ProposalResult.Chosen) register.run(register.proposal(THREE, READ));
+        assertThat(read.value().members()).as("read by someone with the old belief").isEqualTo(next);
+    }
+
+    @Test
+    void aSetChangeNeedsAMajorityOfEachSet() {
+        chosen(writing(1));
+        register.down.addAll(List.of("a"));
+        List<Member> next = members("a", "d", "e");
+        assertThat(run(current -> write(new RegisterValue(next, new byte[] {2}))))
+                .isEqualTo(new ProposalResult.Unknown());
+    }
+
+    @Test
+    void aSetChangeWaitsUntilTheValueBelowIsChosen() {
+        writeAt("a", 1);
+        List<Integer> members = new ArrayList<>();
+        chosen(current -> {
+            if (current == null) {
+                return Decision.keep();
+            }
+            members.add(current.members().size());
+            return current.members().size() == 3
+                    ? write(new RegisterValue(members("a", "b", "c", "d"), new byte[] {2}))
+                    : Decision.keep();
+        });
+        assertThat(members).as("asked before and after the value below was confirmed").containsExactly(3, 3);
+    }
+
+    @Test
+    void aNewAddressOfTheSameDiskIsNoChangeOfTheSet() {
+        chosen(writing(1));
+        List<Member> moved = List.of(member("a"), member("b"), new Member("c", "elsewhere"));
+        chosen(current -> write(new RegisterValue(moved, new byte[] {2})));
+        assertThat(register.accepts).isEqualTo(6);
+    }
+
+    private static Decision write(RegisterValue next) {
+        return new Decision.Write(next);
+    }
+
+    private static RegisterChange writing(int content) {
+        return current -> write(value(THREE, content));
+    }
+
+    /** Adds one to an empty register only. */
+    private static RegisterChange addingOne() {
+        return current -> current == null ? write(value(THREE, 1)) : Decision.keep();
+    }
+
+    private ProposalResult run(RegisterChange change) {
+        return register.run(register.proposal(THREE, change));
+    }
+
+    private ProposalResult.Chosen chosen(RegisterChange change) {
+        return (ProposalResult.Chosen) run(change);
+    }
+
+    /** Lets all promise, and gives what the proposal wants sent then. */
+    private List<Output> prepared(Proposal proposal) {
+        List<Output> later = new ArrayList<>();
+        for (Output output : proposal.start(0)) {
+            if (output instanceof Output.Send send) {
+                later.addAll(proposal.onMessage(register.answer(send), 0));
+            }
+        }
+        return later;
+    }
+
+    /** A write that only one acceptor takes, whose proposer then is gone. */
+    private void writeAt(String storage, int content) {
+        for (Output output : prepared(register.proposal(THREE, writing(content)))) {
+            if (output instanceof Output.Send send && send.member().storage().equals(storage)) {
+                register.answer(send);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/storage/src/main/java/burlarch/storage/SegmentedLog.java
@@ -0,0 +1,178 @@
+package burlarch.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+
+/**
+ * A log that replaces itself: a snapshot and the records after it, in one file, until the next snapshot
+ * begins the next file.
+ *
+ * <p>What was appended counts once {@link #sync} has returned. After an I/O error all is undone that came
+ * since the last sync (though it may be found again after a restart), and the same call may be tried again
+ * later.
+ *
+ * <p>Sequences rise over all files and are not used twice, also not after an error. At opening, the file that
+ * reaches the highest sequence counts: a file that a failed compaction left behind loses against the records
+ * that were synced after it, and one whose removal didn't last loses against the snapshot that took its
+ * place. What is read is synced once more before it is trusted, as a process that died may not have got to
+ * that.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class SegmentedLog implements Closeable {
+    /** The largest record and the largest snapshot. */
+    public static final int MOST_RECORD_BYTES = 8 * 1024 * 1024;
+    /** How much follows a snapshot before the next one is due, unless said otherwise. */
+    public static final long DEFAULT_SEGMENT_BYTES = 4 * 1024 * 1024;
+
+    private static final int MOST_LEFTOVERS = 2;
+
+    private final Disk disk;
+    private final long segmentBytes;
+    private final List<String> leftovers = new ArrayList<>();
+    private Segment current;
+    private List<byte[]> recovered = List.of();
+    private long snapshotEnd;
+    private long nextNumber = 1;
+    private long nextSequence = 1;
+
+    private SegmentedLog(Disk disk, long segmentBytes) {
+        this.disk = disk;
+        this.segmentBytes = segmentBytes;
+    }
+
+    /**
+     * Opens the log of a folder; other files there are left alone.
+     *
+     * @param segmentBytes how much may follow a snapshot until {@link #isFull}
+     * @throws IOException if the disk can't be read or synced; opening may be tried again
+     */
+    public static SegmentedLog open(Disk disk, long segmentBytes) throws IOException {
+        SegmentedLog log = new SegmentedLog(disk, segmentBytes);
+        log.recover();
+        return log;
+    }
+
+    /** Whether there is no snapshot yet; then {@link #compact} has to come first. */
+    public boolean isEmpty() {
+        return current == null;
+    }
+
+    /** The snapshot and the records after it, as found at opening; handed out once. */
+    public List<byte[]> takeRecovered() {
+        List<byte[]> taken = recovered;
+        recovered = List.of();
+        return taken;
+    }
+
+    /** Writes records behind the others. They count once {@link #sync} has returned. */
+    public void append(List<byte[]> records) throws IOException {
+        if (isEmpty()) {
+            throw new IllegalStateException("a log begins with a snapshot");
+        }
+        for (byte[] record : records) {
+            requireFit(record);
+            current.append(nextSequence++, record);
+        }
+    }
+
+    /** Makes lasting what was appended. */
+    public void sync() throws IOException {
+        current.sync();
+    }
+
+    /** Whether a snapshot is due. */
+    public boolean isFull() {
+        return !isEmpty() && current.end() - snapshotEnd >= segmentBytes;
+    }
+
+    /** Puts a snapshot in place of all records; it lasts once this has returned. */
+    public void compact(byte[] snapshot) throws IOException {
+        requireFit(snapshot);
+        removeLeftovers();
+        if (leftovers.size() >= MOST_LEFTOVERS) {
+            throw new IOException("old segments can't be removed");
+        }
+        long number = nextNumber++;
+        Segment next;
+        try {
+            next = Segment.create(disk, number, nextSequence++, snapshot);
+        } catch (IOException e) {
+            leftovers.add(Segment.name(number));
+            removeLeftovers();
+            throw e;
+        }
+        if (current != null) {
+            current.closeQuietly();
+            leftovers.add(Segment.name(current.number()));
+        }
+        current = next;
+        snapshotEnd = next.end();
+        removeLeftovers();
+    }
+
+    @Override
+    public void close() {
+        if (current != null) {
+            current.closeQuietly();
+        }
+    }
+
+    private void recover() throws IOException {
+        for (String name : disk.list()) {
+            long number = Segment.numberOf(name);
+            if (number >= 0) {
+                leftovers.add(name);
+                nextNumber = Math.max(nextNumber, number + 1);
+                consider(Segment.open(disk, number));
+            }
+        }
+        if (current == null) {
+            return;
+        }
+        leftovers.remove(Segment.name(current.number()));
+        current.sync();
+        disk.syncFolder();
+        recovered = current.takeRecords();
+        snapshotEnd = Segment.HEADER_BYTES + recovered.get(0).length;
+        removeLeftovers();
+    }
+
+    private void consider(Segment found) {
+        nextSequence = Math.max(nextSequence, found.lastSequence() + 1);
+        boolean better = found.isReadable()
+                && (current == null || found.lastSequence() > current.lastSequence());
+        Segment worse = better ? current : found;
+        if (better) {
+            current = found;
+        }
+        if (worse != null) {
+            worse.closeQuietly();
+        }
+    }
+
+    /** A file that can't be removed now is tried again at the next compaction. */
+    private void removeLeftovers() {
+        if (leftovers.isEmpty()) {
+            return;
+        }
+        try {
+            for (Iterator<String> names = leftovers.iterator(); names.hasNext();) {
+                disk.remove(names.next());
+                names.remove();
+            }
+            disk.syncFolder();
+        } catch (IOException e) {
+            // What is left is harmless: its sequences are below those in force.
+        }
+    }
+
+    private static void requireFit(byte[] record) throws IOException {
+        if (record.length > MOST_RECORD_BYTES) {
+            throw new IOException("record of " + record.length + " bytes");
+        }
+    }
+}
--- /dev/null
+++ b/storage/src/test/java/burlarch/storage/AcceptorStoreTest.java
@@ -0,0 +1,59 @@
+package burlarch.storage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.coordination.register.AcceptorState;
+import burlarch.coordination.register.Ballot;
+import burlarch.coordination.register.Member;
+import burlarch.coordination.register.RegisterValue;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class AcceptorStoreTest {
+    private static final Ballot LOW = new Ballot(3, "a");
+    private static final Ballot HIGH = new Ballot(4, "b");
+    private static final long SMALL_SEGMENT = 300;
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void keepsItsIdentityAndStateOverARestart() throws IOException {
+        List<Member> members = List.of(new Member("s1", "10.0.0.1:7000"));
+        RegisterValue value = new RegisterValue(members, new byte[] {1, 2});
+        try (AcceptorStore store = AcceptorStore.open(new FolderDisk(folder), () -> "first")) {
+            assertThat(store.createdNow()).isTrue();
+            store.save(new AcceptorState(LOW, LOW, value));
+            store.save(new AcceptorState(HIGH, LOW, value));
+            store.saveExtra("fence", new byte[] {7});
+        }
+        try (AcceptorStore store = AcceptorStore.open(new FolderDisk(folder), () -> "second")) {
+            assertThat(store.createdNow()).isFalse();
+            assertThat(store.identity()).isEqualTo("first");
+            assertThat(store.state()).usingRecursiveComparison()
+                    .isEqualTo(new AcceptorState(HIGH, LOW, value));
+            assertThat(store.extra("fence")).containsExactly(7);
+            assertThat(store.extra("other")).isNull();
+        }
+    }
+
+    @Test
+    void replacesItsSegmentsAndStaysSmall() throws IOException {
+        FolderDisk disk = new FolderDisk(folder);
+        AcceptorState last = null;
+        try (AcceptorStore store = AcceptorStore.open(disk, () -> "first", SMALL_SEGMENT)) {
+            for (int round = 1; round < 200; round++) {
+                Ballot ballot = new Ballot(round, "p");
+                last = new AcceptorState(ballot, ballot, new RegisterValue(List.of(), new byte[round]));
+                store.save(last);
+                assertThat(disk.list()).hasSize(1);
+            }
+        }
+        try (AcceptorStore store = AcceptorStore.open(disk, () -> "second", SMALL_SEGMENT)) {
+            assertThat(store.state()).usingRecursiveComparison().isEqualTo(last);
+        }
+    }
+}
