--- /dev/null
+++ b/routing/src/main/java/burlarch/routing/CostModel.java
@@ -0,0 +1,67 @@
+package burlarch.routing;
+
+/** The figures that the schedulers weigh, in one place. Times are nanoseconds. */
+final class CostModel {
+    /** Prompt tokens that an engine reads in a millisecond, until its own first events tell. */
+    static final double START_TOKENS_PER_MILLI = 30;
+    /** From sending to the first event of a request with nothing to read, until first events tell. */
+    static final long START_BASE_NANOS = 70_000_000L;
+    /** What a plain server is taken to need for a request until its answers tell. */
+    static final long START_SERVICE_NANOS = 30_000_000L;
+    /** Shared tokens that nobody keeps, from which a request is a fetch. Below lie roundings to blocks. */
+    static final int FETCH_TOKENS = 64;
+    /** Further tokens that a source has to keep for a move: below, its set-up costs as much as reading. */
+    static final int MOVE_TOKENS = 256;
+    /** Set-up of one move. */
+    static final long MOVE_SETUP_NANOS = 6_000_000L;
+    /** A move has to take less than this part of what reading would. */
+    static final double MOVE_GAIN = 0.7;
+    /** An engine begins no move that waits for more than two seconds; well before that it pays no more. */
+    static final long MOVE_LONGEST_NANOS = 1_000_000_000L;
+    /** How many times its own length a move counts: moved memory is priced, waiting within the aim is not. */
+    static final double MOVE_WEIGHT = 2.5;
+    /** How many times its length reading counts where others keep the tokens: that is priced higher still. */
+    static final double REREAD_WEIGHT = 4;
+    /** Shared tokens from which a store's copy is worth its move. */
+    static final int SAVE_TOKENS = 1_000;
+    /** Counts each nanosecond beyond the aim, on top of itself: late answers lose most of their worth. */
+    static final double LATE_WEIGHT = 4;
+    /** Counts each nanosecond of waiting for memory, on top: the engine puts running requests back. */
+    static final double MEMORY_WEIGHT = 1;
+    /** Each request that runs makes every token of the others slower; this spreads what is alike otherwise. */
+    static final long RUNNING_NANOS = 1_500_000L;
+    /** Bytes between zones are priced, and a way through another zone can break. */
+    static final long OTHER_ZONE_NANOS = 4_000_000L;
+    /** An engine that is still warming up is slower by this factor. */
+    static final double WARM_UP = 1.5;
+    /** What is known of an engine whose events got lost counts for this part. */
+    static final double UNCERTAIN = 0.8;
+    /** A request goes to the next engine by rendezvous where the first is slower than the best by this. */
+    static final long RENDEZVOUS_SLACK_NANOS = 200_000_000L;
+    /** What one engine counts of its running requests' kept tokens: running requests share them. */
+    static final double KEPT_SHARE = 0.5;
+    /** Part of the most tokens that a request is taken to put out. */
+    static final double OUTPUT_SHARE = 0.5;
+
+    private CostModel() {
+    }
+
+    /** The time within which a request earns its full worth, from now; may be below 0. */
+    static long aimLeftNanos(RouteRequest request, long nowNanos) {
+        return request.receivedNanos() + request.route().targetLatencyMillis() * 1_000_000L - nowNanos;
+    }
+
+    /** One move of so many tokens at one distance. */
+    static long moveNanos(int tokens, long tokenBytes, double linkMbps, double distance, double slowness) {
+        if (linkMbps <= 0) {
+            return Long.MAX_VALUE;
+        }
+        double bits = 8.0 * tokens * tokenBytes;
+        return MOVE_SETUP_NANOS + (long) (bits / linkMbps * 1e3 * distance * slowness);
+    }
+
+    /** What a first event that comes so late costs, against one that comes at once. */
+    static double firstEventCost(double predictedNanos, long aimLeftNanos) {
+        return predictedNanos + LATE_WEIGHT * Math.max(0, predictedNanos - Math.max(0, aimLeftNanos));
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/burlarch/routing/Engine.java
@@ -0,0 +1,85 @@
+package burlarch.routing;
+
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.Instance.ServedModel;
+import burlarch.coordination.registry.InstanceState;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One incarnation of an instance of any service, with all that is known of it. */
+final class Engine {
+    final String id;
+    final long idHash;
+    final Health health = new Health();
+    final EngineSpeed speed = new EngineSpeed();
+    final EngineLoad load;
+    private final Map<String, Long> versions = new HashMap<>(2);
+    private Instance instance;
+
+    Engine(Instance instance) {
+        this.id = instance.id();
+        this.idHash = Rendezvous.hash(id);
+        this.load = new EngineLoad(instance.capacity());
+        this.instance = instance;
+    }
+
+    Instance instance() {
+        return instance;
+    }
+
+    void update(Instance announced) {
+        instance = announced;
+        if (announced.capacity() > 0) {
+            load.setSlots(announced.capacity());
+        }
+    }
+
+    boolean isReady() {
+        return instance.state() == InstanceState.READY;
+    }
+
+    boolean isWarmingUp() {
+        return instance.warmupLeftMillis() > 0;
+    }
+
+    /** Whether it may serve the model: unless it names others only. */
+    boolean serves(String model) {
+        List<ServedModel> models = instance.models();
+        if (model == null || models == null || models.isEmpty()) {
+            return true;
+        }
+        for (int i = 0; i < models.size(); i++) {
+            if (models.get(i).name().equals(model)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Weights version of a model, 0 if unknown. */
+    long version(String model) {
+        return model == null ? 0 : versions.getOrDefault(model, 0L);
+    }
+
+    /** Takes a version in; versions only rise. Returns the one before if this is newer, else -1. */
+    long onVersion(String model, long version) {
+        long before = version(model);
+        if (version <= before) {
+            return -1;
+        }
+        versions.put(model, version);
+        return before;
+    }
+
+    /** What was believed of the weights was wrong: back to what the instance announced. */
+    void distrustVersion(String model) {
+        versions.remove(model);
+        List<ServedModel> models = instance.models();
+        for (int i = 0; models != null && i < models.size(); i++) {
+            if (models.get(i).name().equals(model)) {
+                versions.put(model, models.get(i).version());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/burlarch/routing/EngineLoad.java
@@ -0,0 +1,100 @@
+package burlarch.routing;
+
+/** What one instance has to do: our own requests exactly, those of other routers as far as it told. */
+final class EngineLoad {
+    /** How long the load that an answer told counts for; it fades evenly. */
+    private static final double FADE_NANOS = 4e9;
+    /** How long a told queue is taken to stand. */
+    private static final long QUEUE_NANOS = 1_000_000_000L;
+
+    private int inFlight;
+    private double ownMemoryTokens;
+    private double backlogTokens;
+    private long backlogAtNanos;
+    private double others;
+    private long othersAtNanos;
+    private int slots;
+    private int waiting;
+    private boolean wasTold;
+
+    EngineLoad(int slots) {
+        this.slots = Math.max(1, slots);
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    void setSlots(int count) {
+        slots = Math.max(1, count);
+    }
+
+    /** Requests there that are not ours. */
+    double others(long nowNanos) {
+        return others * Math.max(0, 1 - (nowNanos - othersAtNanos) / FADE_NANOS);
+    }
+
+    /** Requests there, ours and others'. */
+    double requests(long nowNanos) {
+        return inFlight + others(nowNanos);
+    }
+
+    /** Whether it told of requests that wait, lately. */
+    boolean hasQueue(long nowNanos) {
+        return waiting > 0 && nowNanos - othersAtNanos < QUEUE_NANOS;
+    }
+
+    /** Memory of what runs, in tokens; requests of others count as ours do on average. */
+    double memoryTokens(double meanTokens, long nowNanos) {
+        return ownMemoryTokens + others(nowNanos) * meanTokens;
+    }
+
+    /** Prompt tokens that are still to be read, ours and, where it told of a queue, others'. */
+    double backlogTokens(EngineSpeed speed, long nowNanos) {
+        double read = Math.max(0, nowNanos - backlogAtNanos) * speed.tokensPerNano();
+        backlogTokens = Math.max(0, backlogTokens - read);
+        backlogAtNanos = nowNanos;
+        return backlogTokens;
+    }
+
+    void onSent(int tokensToRead, double memory, EngineSpeed speed, long nowNanos) {
+        backlogTokens(speed, nowNanos);
+        backlogTokens += tokensToRead;
+        ownMemoryTokens += memory;
+        inFlight++;
+    }
+
+    void onEnded(double memory) {
+        inFlight--;
+        ownMemoryTokens = inFlight == 0 ? 0 : Math.max(0, ownMemoryTokens - memory);
+    }
+
+    /** Requests that never ran leave nothing to read. */
+    void withdraw(int tokensToRead) {
+        backlogTokens = Math.max(0, backlogTokens - tokensToRead);
+    }
+
+    /**
+     * What an answer's head told.
+     *
+     * @param ours requests of ours that were there then
+     * @param meanTokensToRead of a request, for those that wait there
+     */
+    void onTold(ServerLoad told, int ours, double meanTokensToRead, EngineSpeed speed, long atNanos) {
+        if (wasTold && atNanos - othersAtNanos < 0) {
+            return;
+        }
+        wasTold = true;
+        others = Math.max(0, told.running() + told.waiting() - ours);
+        othersAtNanos = atNanos;
+        waiting = told.waiting();
+        if (told.slots() > 0) {
+            slots = told.slots();
+        }
+        backlogTokens = Math.max(backlogTokens(speed, atNanos), waiting * meanTokensToRead);
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/burlarch/routing/EngineSpeed.java
@@ -0,0 +1,58 @@
+package burlarch.routing;
+
+/** How fast one instance has shown to be. Running estimates that no single sample moves far. */
+final class EngineSpeed {
+    private static final double LEAST_RATE = 5;
+    private static final double MOST_RATE = 300;
+    /** Requests that are quick are surer to have met nobody else: an estimate improves faster than it falls. */
+    private static final double GAIN_FASTER = 0.2;
+    private static final double GAIN_SLOWER = 0.04;
+    private static final double FURTHEST = 2;
+    /** Prompts that tell the base, and prompts that tell the rate. */
+    private static final int SHORT_TOKENS = 400;
+    private static final int LONG_TOKENS = 1_500;
+
+    private double tokensPerMilli = CostModel.START_TOKENS_PER_MILLI;
+    private double baseNanos = CostModel.START_BASE_NANOS;
+    private double serviceNanos = CostModel.START_SERVICE_NANOS;
+
+    double tokensPerNano() {
+        return tokensPerMilli * 1e-6;
+    }
+
+    double baseNanos() {
+        return baseNanos;
+    }
+
+    /** Mean time of whole answers. */
+    double serviceNanos() {
+        return serviceNanos;
+    }
+
+    double readNanos(double tokens) {
+        return tokens / tokensPerNano();
+    }
+
+    /** A first event came that had waited for no other request of ours. */
+    void onFirstEvent(int tokensRead, double elapsedNanos) {
+        if (tokensRead < SHORT_TOKENS) {
+            baseNanos = toward(baseNanos, Math.max(1e6, elapsedNanos - readNanos(tokensRead)), true);
+        } else if (tokensRead >= LONG_TOKENS && elapsedNanos > baseNanos) {
+            double seen = tokensRead * 1e6 / (elapsedNanos - baseNanos);
+            double next = toward(tokensPerMilli, seen, false);
+            tokensPerMilli = Math.max(LEAST_RATE, Math.min(MOST_RATE, next));
+        }
+    }
+
+    /** A whole answer came. */
+    void onAnswered(double elapsedNanos) {
+        double sample = Math.min(elapsedNanos, serviceNanos * 4);
+        serviceNanos += (sample - serviceNanos) * 0.1;
+    }
+
+    private static double toward(double estimate, double seen, boolean lowIsFast) {
+        double sample = Math.max(estimate / FURTHEST, Math.min(estimate * FURTHEST, seen));
+        boolean faster = lowIsFast == sample < estimate;
+        return estimate + (sample - estimate) * (faster ? GAIN_FASTER : GAIN_SLOWER);
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/burlarch/routing/ServiceState.java
@@ -0,0 +1,114 @@
+package burlarch.routing;
+
+import burlarch.configuration.Configuration.Service;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One service: its instances and what its requests have shown on average. */
+final class ServiceState {
+    private static final double MEAN_GAIN = 0.02;
+    private static final double SLOWNESS_GAIN = 0.3;
+    private static final double MOST_SLOWNESS = 30;
+    /** How long a link that showed slow is taken for slow without new evidence. */
+    private static final double SLOWNESS_FADE_NANOS = 5e9;
+
+    private record Seen(long version, long sinceNanos) {
+    }
+
+    final String name;
+    final List<Engine> engines = new ArrayList<>();
+    final RetryBudget budget;
+    final Admission admission;
+    private final Map<String, Seen> newest = new HashMap<>(2);
+    private Service service;
+    private double meanTokensToRead = 1_000;
+    private double meanMemoryTokens = 2_000;
+    private double slowness = 1;
+    private long slownessAtNanos;
+
+    ServiceState(Service service, RetryBudget budget, Admission admission) {
+        this.name = service.name();
+        this.service = service;
+        this.budget = budget;
+        this.admission = admission;
+    }
+
+    void update(Service configured) {
+        service = configured;
+    }
+
+    boolean isModelService() {
+        return service.engine() != null;
+    }
+
+    /** Memory of each engine in tokens, 0 if not told. */
+    long kvCapacity() {
+        return service.engine() == null ? 0 : service.engine().kvCapacity();
+    }
+
+    long tokenBytes() {
+        return service.engine().kvTokenBytes();
+    }
+
+    double linkMbps() {
+        return service.engine().linkMbps();
+    }
+
+    double meanTokensToRead() {
+        return meanTokensToRead;
+    }
+
+    double meanMemoryTokens() {
+        return meanMemoryTokens;
+    }
+
+    void onSent(Flight flight) {
+        meanTokensToRead += (flight.tokensToRead - meanTokensToRead) * MEAN_GAIN;
+        meanMemoryTokens += (flight.memoryTokens - meanMemoryTokens) * MEAN_GAIN;
+    }
+
+    /** How many times longer than its link says a move takes, as the last ones did. */
+    double slowness(long nowNanos) {
+        double fade = Math.max(0, 1 - (nowNanos - slownessAtNanos) / SLOWNESS_FADE_NANOS);
+        return 1 + (slowness - 1) * fade;
+    }
+
+    void onMoved(double ratio, long nowNanos) {
+        double sample = Math.max(1, Math.min(MOST_SLOWNESS, ratio));
+        slowness = slowness(nowNanos);
+        slowness += (sample - slowness) * SLOWNESS_GAIN;
+        slownessAtNanos = nowNanos;
+    }
+
+    void onVersion(String model, long version, long nowNanos) {
+        Seen seen = newest.get(model);
+        if (seen == null || version > seen.version()) {
+            newest.put(model, new Seen(version, nowNanos));
+        }
+    }
+
+    /** The version below which an engine gets nothing any more: newer weights have had time to come to all. */
+    long leastVersion(String model, long graceNanos, long nowNanos) {
+        Seen seen = newest.get(model);
+        return seen == null || nowNanos - seen.sinceNanos() < graceNanos ? 0 : seen.version();
+    }
+
+    /** Whether places are free for sure: under half of them taken, and nothing told to wait. */
+    boolean hasSparePlaces(long nowNanos) {
+        double requests = 0;
+        double slots = 0;
+        for (int i = 0; i < engines.size(); i++) {
+            Engine engine = engines.get(i);
+            if (engine.isReady()) {
+                if (engine.load.hasQueue(nowNanos)) {
+                    return false;
+                }
+                requests += engine.load.requests(nowNanos);
+                slots += engine.load.slots();
+            }
+        }
+        return requests < slots / 2;
+    }
+}
