--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/Commands.java
@@ -0,0 +1,48 @@
+package burlarch.fleet;
+
+import burlarch.fleet.controller.ControllerProgram;
+import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.router.RouterProgram;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Argument;
+
+/** What the command line can be asked for. Public, as args4j makes them. */
+public final class Commands {
+    private Commands() {
+    }
+
+    /** One command with its arguments. */
+    public interface Command {
+        /** Does it; returns at once where it lives on by its own threads. */
+        void run(PrintStream output) throws Exception;
+    }
+
+    /** {@code router} */
+    public static final class Router implements Command {
+        @Override
+        public void run(PrintStream output) throws Exception {
+            RouterProgram.run(NodeSettings.fromEnvironment());
+        }
+    }
+
+    /** {@code controller} */
+    public static final class Controller implements Command {
+        @Override
+        public void run(PrintStream output) throws Exception {
+            ControllerProgram.run(NodeSettings.fromEnvironment());
+        }
+    }
+
+    /** {@code check-settings FILE} */
+    public static final class CheckSettings implements Command {
+        @Argument(metaVar = "FILE", required = true, usage = "a file of settings")
+        private Path file;
+
+        @Override
+        public void run(PrintStream output) throws Exception {
+            NodeSettings settings = NodeSettings.load(file);
+            output.println(file + ": proper settings of " + settings.nodeName());
+        }
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/Main.java
+++ b/fleet/src/main/java/burlarch/fleet/Main.java
@@ -1,11 +1,99 @@
 package burlarch.fleet;
 
-/** The command line of the fleet's programs. */
+import burlarch.settings.SettingsException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The command line of the fleet's programs: finds the command and says how it ended. */
 public final class Main {
+    /** It did what it was asked to. */
+    static final int DONE = 0;
+    /** It could not start, or met a fault of its own. */
+    static final int FAILED = 1;
+    /** Wrong arguments or settings. */
+    static final int COULD_NOT_RUN = 2;
+
+    private static final int USAGE_WIDTH = 100;
+    private static final String USAGE = """
+            burlarch [--help] [--version] COMMAND
+              router               runs a router, set up by the file that BURLARCH_NODE_FILE names
+              controller           runs a controller, set up by the same
+              check-settings FILE  says what is wrong with a file of settings
+            Exit codes:
+              0  it did what it was asked to
+              1  it could not start, or met a fault of its own
+              2  wrong arguments or settings""";
+
+    @Option(name = "--help", help = true)
+    private boolean help;
+
+    @Option(name = "--version", help = true)
+    private boolean version;
+
+    @Argument(metaVar = "COMMAND", required = true, handler = SubCommandHandler.class)
+    @SubCommands({@SubCommand(name = "router", impl = Commands.Router.class),
+        @SubCommand(name = "controller", impl = Commands.Controller.class),
+        @SubCommand(name = "check-settings", impl = Commands.CheckSettings.class)})
+    private Commands.Command command;
+
     private Main() {
     }
 
     public static void main(String[] arguments) {
-        System.out.println("burlarch");
+        int code = execute(arguments, System.out, System.err);
+        if (code != DONE) {
+            System.exit(code);
+        }
+    }
+
+    /** Runs one command line. Programs that were started live on by their own threads. */
+    static int execute(String[] arguments, PrintStream output, PrintStream errors) {
+        Main main = new Main();
+        try {
+            new CmdLineParser(main, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH))
+                    .parseArgument(arguments);
+            main.run(output);
+            return DONE;
+        } catch (CmdLineException e) {
+            errors.println("burlarch: " + e.getMessage());
+            errors.println(USAGE);
+            return COULD_NOT_RUN;
+        } catch (SettingsException e) {
+            e.getMessage().lines().forEach(line -> errors.println("burlarch: " + line));
+            return COULD_NOT_RUN;
+        } catch (IOException e) {
+            errors.println("burlarch: " + e.getMessage());
+            return FAILED;
+        } catch (Exception | LinkageError e) {
+            errors.println("burlarch: this is a fault of the program:");
+            e.printStackTrace(errors);
+            return FAILED;
+        }
+    }
+
+    private void run(PrintStream output) throws Exception {
+        if (help) {
+            output.println(USAGE);
+        } else if (version) {
+            output.println("burlarch " + version());
+        } else {
+            command.run(output);
+        }
+    }
+
+    private static String version() throws IOException {
+        try (InputStream input = Main.class.getResourceAsStream("version.txt")) {
+            return new String(input.readAllBytes(), StandardCharsets.UTF_8).strip();
+        }
     }
 }
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/node/NodeSettingsReader.java
@@ -0,0 +1,192 @@
+package burlarch.fleet.node;
+
+import burlarch.fleet.node.NodeSettings.FaultTolerance;
+import burlarch.fleet.node.NodeSettings.Limits;
+import burlarch.fleet.node.NodeSettings.Listen;
+import burlarch.fleet.node.NodeSettings.PortRange;
+import burlarch.settings.Addresses;
+import burlarch.settings.OperatorFile;
+import burlarch.settings.Section;
+import burlarch.settings.SettingsCheck;
+import burlarch.settings.SettingsException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+/** Makes the settings of a process out of its file, and tells all that is wrong with it at once. */
+final class NodeSettingsReader {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int MAX_PORT = 65_535;
+    private static final int LEAST_FREE_PORT = 1_024;
+    private static final int MAX_COUNT = 1_000_000_000;
+    private static final double MAX_MILLIS = 1e12;
+
+    private final SettingsCheck check = new SettingsCheck();
+    private final OperatorFile file;
+    /** Bears the file's name, and gives tables that say nothing. */
+    private final OperatorFile blank;
+
+    private NodeSettingsReader(OperatorFile file, OperatorFile blank) {
+        this.file = file;
+        this.blank = blank;
+    }
+
+    static NodeSettings load(Path path) throws SettingsException {
+        OperatorFile blank = OperatorFile.parse(path.toString(), "");
+        return new NodeSettingsReader(OperatorFile.load(path), blank).read();
+    }
+
+    private NodeSettings read() throws SettingsException {
+        Section top = file.top();
+        List<String> serves = texts(top, "serves");
+        Map<String, String> zones = zones();
+        String zone = text(top, "zone", "");
+        NodeSettings settings = new NodeSettings(
+                check.needed(top, "node_name", "", () -> top.text("node_name", "")),
+                text(top, "role", ""),
+                text(top, "machine_class", ""),
+                serves,
+                ip(top),
+                zone,
+                text(top, "region", zones.getOrDefault(zone, "")),
+                portRange(top),
+                seeds(top),
+                flag(top, "bootstrap", false),
+                flag(top, "counts_for_quorum", false),
+                check.optional(top, "data_dir", null, () -> top.path("data_dir")),
+                text(top, "discovery", ""),
+                text(top, "entry", ""),
+                millis(top, "heartbeat_ms", 1_000),
+                texts(top, "contracts"),
+                zones,
+                listen(serves),
+                limits(),
+                faultTolerance(),
+                bounds());
+        check.refuseMistakes();
+        return settings;
+    }
+
+    private Section table(String name) {
+        Section empty = check.value(null, () -> blank.section(name));
+        return check.optional(file.top(), name, empty, () -> file.section(name));
+    }
+
+    private Map<String, String> zones() {
+        Section table = table("zones");
+        return check.value(Map.of(), table::allTexts);
+    }
+
+    private String ip(Section top) {
+        String ip = check.needed(top, "ip", null, () -> top.text("ip", null));
+        return check.valid(top, "ip", ip, text -> isAddress(text + ":1"), "must be a literal address");
+    }
+
+    private PortRange portRange(Section top) {
+        List<Integer> ports = check.needed(top, "port_range", null,
+                () -> top.wholes("port_range", LEAST_FREE_PORT, MAX_PORT));
+        check.valid(top, "port_range", ports, list -> list.size() == 2 && list.get(0) <= list.get(1),
+                "must be a first and a last port");
+        return ports == null || ports.size() != 2 ? null : new PortRange(ports.get(0), ports.get(1));
+    }
+
+    private List<String> seeds(Section top) {
+        return check.valid(top, "seeds", texts(top, "seeds"),
+                list -> list.stream().allMatch(NodeSettingsReader::isAddress),
+                "must be literal addresses and ports, as \"127.0.0.1:9001\"");
+    }
+
+    private static boolean isAddress(String text) {
+        try {
+            return Addresses.parse(text) != null;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
+    private Listen listen(List<String> serves) {
+        Section table = table("listen");
+        return new Listen(address(table, "front", serves.contains("edge")),
+                address(table, "readiness", false),
+                address(table, "control", serves.contains("control_plane")));
+    }
+
+    private InetSocketAddress address(Section table, String key, boolean needed) {
+        return needed ? check.needed(table, key, null, () -> table.address(key))
+                : check.optional(table, key, null, () -> table.address(key));
+    }
+
+    private Limits limits() {
+        Section table = table("limits");
+        return new Limits(number(table, "cpu_share", 1, 0.001, 1_024),
+                number(table, "cpu_cores", 1, 0.001, 1_024),
+                (int) number(table, "memory_mb", 256, 1, MAX_COUNT),
+                (int) number(table, "max_fds", 1_024, 1, MAX_COUNT),
+                number(table, "link_mbps", 1_000, 0.001, MAX_COUNT),
+                (int) number(table, "disk_mb", 0, 0, MAX_COUNT));
+    }
+
+    private FaultTolerance faultTolerance() {
+        Section table = table("fault_tolerance");
+        return new FaultTolerance(count(table, "machines", 1), count(table, "zones", 0),
+                count(table, "regions", 0));
+    }
+
+    private NodeBounds bounds() {
+        Section table = table("bounds");
+        return new NodeBounds(
+                seconds(table, "seed_lag_s", 3),
+                seconds(table, "reuse_after_s", 2),
+                millis(table, "contact_ms", 3_000),
+                millis(table, "ack_ms", 4_000),
+                seconds(table, "catch_up_s", 4),
+                millis(table, "drain_timeout_ms", 2_000),
+                seconds(table, "grace_s", 8),
+                millis(table, "loss_slack_ms", 200),
+                millis(table, "config_apply_ms", 2_000),
+                millis(table, "downgrade_ms", 250),
+                millis(table, "outer_ms", 5_000),
+                flag(table, "revocation", false),
+                millis(table, "revoke_ms", 5_000),
+                number(table, "retry_budget", 0.2, 0, MAX_COUNT),
+                seconds(table, "budget_window_s", 10),
+                (int) number(table, "budget_slack", 0, 0, MAX_COUNT),
+                seconds(table, "recovery_s", 12),
+                millis(table, "transit_ms", 120),
+                seconds(table, "again_s", 10),
+                flag(table, "fencing", false),
+                millis(table, "lease_ms", 3_000),
+                millis(table, "thaw_ms", 300),
+                millis(table, "version_ms", 8_000),
+                millis(table, "version_all_ms", 11_000));
+    }
+
+    private String text(Section section, String key, String otherwise) {
+        return check.optional(section, key, otherwise, () -> section.text(key, otherwise));
+    }
+
+    private List<String> texts(Section section, String key) {
+        return check.optional(section, key, List.of(), () -> section.texts(key));
+    }
+
+    private boolean flag(Section section, String key, boolean otherwise) {
+        return check.optional(section, key, otherwise, () -> section.flag(key, otherwise));
+    }
+
+    private double number(Section section, String key, double otherwise, double least, double most) {
+        return check.optional(section, key, otherwise, () -> section.number(key, otherwise, least, most));
+    }
+
+    private int count(Section section, String key, int otherwise) {
+        return check.optional(section, key, otherwise, () -> section.whole(key, otherwise, 0, MAX_COUNT));
+    }
+
+    private long millis(Section section, String key, double otherwise) {
+        return Math.round(number(section, key, otherwise, 0, MAX_MILLIS) * NANOS_PER_MILLI);
+    }
+
+    private long seconds(Section section, String key, double otherwise) {
+        return Math.round(number(section, key, otherwise, 0, MAX_MILLIS / 1_000) * 1_000 * NANOS_PER_MILLI);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/node/NodeSettingsTest.java
@@ -0,0 +1,208 @@
+package burlarch.fleet.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import burlarch.settings.SettingsException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The file that a process is told its settings by. */
+class NodeSettingsTest {
+    private static final long MILLI = 1_000_000;
+    private static final long SECOND = 1_000 * MILLI;
+
+    /** The least that a file must say. */
+    private static final String LEAST = """
+            node_name = "n1"
+            ip = "10.9.0.1"
+            port_range = [7000, 7009]
+            """;
+
+    private static final String FULL = """
+            node_name = "n2"
+            role = "controller"
+            machine_class = "core"
+            serves = ["control_plane", "edge"]
+            ip = "10.9.0.2"
+            zone = "north"
+            region = "upper"
+            port_range = [7000, 7009]
+            seeds = ["10.9.0.2:9100", "10.9.0.3:9100"]
+            bootstrap = true
+            counts_for_quorum = true
+            data_dir = "/var/lib/n2"
+            discovery = "registry"
+            entry = "virtual_ip"
+            heartbeat_ms = 900
+            contracts = ["base", "drain"]
+            colour = "red"
+            [zones]
+            north = "upper"
+            south = "lower"
+            [listen]
+            front = "10.9.0.2:9101"
+            readiness = "10.9.0.2:9102"
+            control = "10.9.0.2:9100"
+            backdoor = 4
+            [limits]
+            cpu_share = 0.36
+            cpu_cores = 2
+            memory_mb = 300
+            max_fds = 2000
+            link_mbps = 7.5
+            disk_mb = 128
+            [fault_tolerance]
+            machines = 2
+            zones = 1
+            regions = 1
+            [bounds]
+            seed_lag_s = 1
+            reuse_after_s = 1.5
+            contact_ms = 2500
+            ack_ms = 3500
+            catch_up_s = 5
+            drain_timeout_ms = 1500
+            grace_s = 6.5
+            loss_slack_ms = 150
+            config_apply_ms = 1800
+            downgrade_ms = 200
+            outer_ms = 4000
+            revocation = true
+            revoke_ms = 3000
+            retry_budget = 0.15
+            budget_window_s = 8
+            budget_slack = 40
+            recovery_s = 10
+            transit_ms = 100
+            again_s = 9
+            fencing = true
+            lease_ms = 2800
+            thaw_ms = 250
+            version_ms = 7000
+            version_all_ms = 9000
+            tides = "high"
+            [weather]
+            rain = true
+            """;
+
+    @TempDir
+    Path folder;
+
+    private NodeSettings load(String text) throws Exception {
+        return NodeSettings.load(Files.writeString(folder.resolve("boot.toml"), text));
+    }
+
+    private List<String> mistakes(String text) {
+        SettingsException refusal = catchThrowableOfType(() -> load(text), SettingsException.class);
+        assertThat(refusal).as(text).isNotNull();
+        return refusal.getMessage().lines().toList();
+    }
+
+    @Test
+    void everyFieldIsReadAndUnknownOnesArePassedOver() throws Exception {
+        NodeSettings expected = new NodeSettings("n2", "controller", "core", List.of("control_plane", "edge"),
+                "10.9.0.2", "north", "upper", new NodeSettings.PortRange(7000, 7009),
+                List.of("10.9.0.2:9100", "10.9.0.3:9100"), true, true, Path.of("/var/lib/n2"), "registry",
+                "virtual_ip", 900 * MILLI, List.of("base", "drain"),
+                Map.of("north", "upper", "south", "lower"),
+                new NodeSettings.Listen(new InetSocketAddress("10.9.0.2", 9101),
+                        new InetSocketAddress("10.9.0.2", 9102), new InetSocketAddress("10.9.0.2", 9100)),
+                new NodeSettings.Limits(0.36, 2, 300, 2000, 7.5, 128),
+                new NodeSettings.FaultTolerance(2, 1, 1),
+                new NodeBounds(SECOND, 1_500 * MILLI, 2_500 * MILLI, 3_500 * MILLI, 5 * SECOND, 1_500 * MILLI,
+                        6_500 * MILLI, 150 * MILLI, 1_800 * MILLI, 200 * MILLI, 4 * SECOND, true, 3 * SECOND,
+                        0.15, 8 * SECOND, 40, 10 * SECOND, 100 * MILLI, 9 * SECOND, true, 2_800 * MILLI,
+                        250 * MILLI, 7 * SECOND, 9 * SECOND));
+        NodeSettings settings = load(FULL);
+        assertThat(settings).isEqualTo(expected);
+        assertThat(settings.hasContract("drain")).isTrue();
+        assertThat(settings.hasContract("retry")).isFalse();
+    }
+
+    @Test
+    void whatIsAbsentHasADefault() throws Exception {
+        NodeSettings settings = load(LEAST);
+        assertThat(settings.serves()).isEmpty();
+        assertThat(settings.seeds()).isEmpty();
+        assertThat(settings.bootstrap()).isFalse();
+        assertThat(settings.dataDir()).isNull();
+        assertThat(settings.listen()).isEqualTo(new NodeSettings.Listen(null, null, null));
+        assertThat(settings.heartbeatNanos()).isPositive();
+        assertThat(settings.limits().memoryMegabytes()).isPositive();
+        assertThat(settings.bounds().contactNanos()).isPositive();
+        assertThat(settings.faultTolerance()).isEqualTo(new NodeSettings.FaultTolerance(1, 0, 0));
+    }
+
+    @Test
+    void emptyTextsCountAsAbsent() throws Exception {
+        NodeSettings settings = load(LEAST + """
+                discovery = ""
+                heartbeat_ms = ""
+                contracts = ""
+                limits = ""
+                """);
+        assertThat(settings.discovery()).isEmpty();
+        assertThat(settings.heartbeatNanos()).isPositive();
+        assertThat(settings.contracts()).isEmpty();
+    }
+
+    @Test
+    void theRegionFollowsFromTheZone() throws Exception {
+        NodeSettings settings = load(LEAST + "zone = \"south\"\n[zones]\nsouth = \"lower\"\n");
+        assertThat(settings.region()).isEqualTo("lower");
+    }
+
+    @Test
+    void allMistakesAreToldAtOnce() {
+        List<String> lines = mistakes("""
+                node_name = 4
+                ip = "localhost"
+                port_range = [7009, 7000]
+                seeds = ["10.9.0.1"]
+                serves = ["edge", "control_plane"]
+                bootstrap = 1
+                [limits]
+                max_fds = -1
+                [fault_tolerance]
+                machines = 0.5
+                [bounds]
+                contact_ms = "soon"
+                retry_budget = -0.1
+                """);
+        for (String field : List.of("node_name", "ip", "port_range", "seeds", "bootstrap", "listen.front",
+                "listen.control", "limits.max_fds", "fault_tolerance.machines", "bounds.contact_ms",
+                "bounds.retry_budget")) {
+            assertThat(lines).as(field).filteredOn(line -> line.contains("boot.toml: " + field + " "))
+                    .hasSize(1);
+        }
+        assertThat(lines).hasSize(11);
+    }
+
+    @Test
+    void whatMustBeThereIsNamed() {
+        assertThat(mistakes("role = \"router\"\n")).anyMatch(line -> line.endsWith("node_name is missing"))
+                .anyMatch(line -> line.endsWith("ip is missing"))
+                .anyMatch(line -> line.endsWith("port_range is missing")).hasSize(3);
+    }
+
+    @Test
+    void tablesThatAreNoneAreNamed() {
+        assertThat(mistakes(LEAST + "limits = 4\nzones = [1]\n")).hasSize(2)
+                .anyMatch(line -> line.contains("limits must be a table"))
+                .anyMatch(line -> line.contains("zones must be a table"));
+    }
+
+    @Test
+    void aFileThatIsNoneIsNamed() {
+        assertThat(mistakes("node_name = ")).hasSize(1);
+        assertThatThrownBy(() -> NodeSettings.load(folder.resolve("absent.toml")))
+                .isInstanceOf(SettingsException.class).hasMessageContaining("absent.toml: no such file");
+    }
+}
--- a/settings/src/main/java/burlarch/settings/OperatorFile.java
+++ b/settings/src/main/java/burlarch/settings/OperatorFile.java
@@ -93,6 +93,11 @@
         }
     }
 
+    /** What stands above all tables, and the tables themselves as values. For files whose keys may grow. */
+    public Section top() {
+        return new Section(name, "", values);
+    }
+
     /** The table of one feature, empty where the file has none. */
     public Section section(String table) throws SettingsException {
         Object value = values.get(table);
--- a/settings/src/main/java/burlarch/settings/Section.java
+++ b/settings/src/main/java/burlarch/settings/Section.java
@@ -3,7 +3,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,7 +32,7 @@
     }
 
     public SettingsException wrong(String key, String what) {
-        return new SettingsException(file + ": " + table + "." + key + " " + what);
+        return new SettingsException(file + ": " + (table.isEmpty() ? key : table + "." + key) + " " + what);
     }
 
     public int whole(String key, int otherwise, int least, int most) throws SettingsException {
@@ -93,6 +96,41 @@
         throw wrong(key, "must be a list of texts");
     }
 
+    /** All of this table's keys with their texts, in the file's order. */
+    public Map<String, String> allTexts() throws SettingsException {
+        Map<String, String> texts = new LinkedHashMap<>();
+        for (Map.Entry<String, Object> entry : values.entrySet()) {
+            if (!(value(entry.getKey()) instanceof String text)) {
+                throw wrong(entry.getKey(), "must be a text");
+            }
+            texts.put(entry.getKey(), text);
+        }
+        return Collections.unmodifiableMap(texts);
+    }
+
+    /** A list of whole numbers; empty where none is given. */
+    public List<Integer> wholes(String key, int least, int most) throws SettingsException {
+        Object value = value(key);
+        if (value == null) {
+            return List.of();
+        }
+        List<Integer> numbers = new ArrayList<>();
+        for (Object one : value instanceof List<?> list ? list : List.of("")) {
+            if (!(one instanceof Integer || one instanceof Long)
+                    || ((Number) one).longValue() < least || ((Number) one).longValue() > most) {
+                throw wrong(key, "must be a list of whole numbers from " + least + " to " + most);
+            }
+            numbers.add(((Number) one).intValue());
+        }
+        return List.copyOf(numbers);
+    }
+
+    /** Whether nothing is said under that key: it is not there, or an empty text. */
+    boolean isBlank(String key) {
+        Object value = value(key);
+        return value == null || value instanceof String text && text.isBlank();
+    }
+
     public boolean has(String key) {
         return values.containsKey(key);
     }
--- /dev/null
+++ b/settings/src/test/java/burlarch/settings/SettingsCheckTest.java
@@ -0,0 +1,58 @@
+package burlarch.settings;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** A file that is read to its end before it is complained of. */
+class SettingsCheckTest {
+    private final SettingsCheck check = new SettingsCheck();
+
+    private static Section top(String text) throws SettingsException {
+        return OperatorFile.parse("b.toml", text).top();
+    }
+
+    @Test
+    void allMistakesAreToldAtOnceOneALine() throws Exception {
+        Section top = top("count = 11\nname = 3\nseeds = [\"a\"]\n");
+        assertEquals(5, check.optional(top, "count", 5, () -> top.whole("count", 5, 1, 10)));
+        assertEquals("none", check.needed(top, "name", "none", () -> top.text("name", "")));
+        assertEquals("none", check.needed(top, "role", "none", () -> top.text("role", "")));
+        check.valid(top, "seeds", top.texts("seeds"), List::isEmpty, "must be empty");
+        List<String> lines = assertThrows(SettingsException.class, check::refuseMistakes).getMessage()
+                .lines().toList();
+        assertEquals(4, lines.size(), lines.toString());
+        assertTrue(lines.get(0).startsWith("b.toml: count must be"), lines.get(0));
+        assertTrue(lines.get(1).startsWith("b.toml: name must be"), lines.get(1));
+        assertEquals("b.toml: role is missing", lines.get(2));
+        assertEquals("b.toml: seeds must be empty", lines.get(3));
+    }
+
+    @Test
+    void whatIsAbsentOrAnEmptyTextHasItsDefault() throws Exception {
+        Section top = top("count = \"\"\n");
+        assertEquals(5, check.optional(top, "count", 5, () -> top.whole("count", 5, 1, 10)));
+        assertEquals(6, check.optional(top, "other", 6, () -> top.whole("other", 6, 1, 10)));
+        check.valid(top, "other", (String) null, String::isEmpty, "must be empty");
+        assertDoesNotThrow(check::refuseMistakes);
+    }
+
+    @Test
+    void keysAboveAllTablesAndWholeTablesCanBeRead() throws Exception {
+        OperatorFile file = OperatorFile.parse("b.toml",
+                "ports = [1, 7]\n[zones]\nnorth = \"upper\"\nsouth = \"lower\"\n[part]\ncount = 1\n");
+        assertEquals(List.of(1, 7), file.top().wholes("ports", 1, 10));
+        assertEquals(List.of(), file.top().wholes("none", 1, 10));
+        assertEquals(Map.of("north", "upper", "south", "lower"), file.section("zones").allTexts());
+        assertThrows(SettingsException.class, () -> file.section("part").allTexts());
+        assertThrows(SettingsException.class, () -> file.top().wholes("ports", 1, 6));
+        assertThrows(SettingsException.class, () -> file.top().wholes("ports", 2, 10));
+        assertThrows(SettingsException.class, () -> top("ports = 3\n").wholes("ports", 1, 10));
+        assertThrows(SettingsException.class, () -> top("ports = [1.5]\n").wholes("ports", 1, 10));
+    }
+}
