--- /dev/null
+++ b/routing/src/test/java/burlarch/routing/Fixture.java
@@ -0,0 +1,137 @@
+package burlarch.routing;
+
+import burlarch.configuration.Configuration;
+import burlarch.configuration.Configuration.Engine;
+import burlarch.configuration.Configuration.Limits;
+import burlarch.configuration.Configuration.Model;
+import burlarch.configuration.Configuration.Route;
+import burlarch.configuration.Configuration.RouteType;
+import burlarch.configuration.Configuration.Service;
+import burlarch.configuration.Configuration.Split;
+import burlarch.configuration.Configuration.Tenant;
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.Instance.ServedModel;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.routing.RouteRequest.PromptPart;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** A small deployment to plan for. */
+final class Fixture {
+    static final long MILLI = 1_000_000L;
+    static final long SECOND = 1_000 * MILLI;
+    static final String MODEL = "m";
+    static final String STORE = "10.9.9.9:80";
+    static final Map<String, String> REGIONS = Map.of("z0", "r", "z1", "r", "z2", "r", "far", "other");
+    static final Route REVIEW = route("review", RouteType.STREAMING, "pool", null, 2, true, 1_000, 0);
+    static final Route LETTER = route("letter", RouteType.STREAMING, "pool", null, 1, false, 1_500, 2);
+    static final Route LOOKUP = route("lookup", RouteType.NON_IDEMPOTENT, "ledger", null, 1, false, 150, 2);
+    static final Route QUERY = route("query", RouteType.IDEMPOTENT, "ledger", null, 3, false, 150, 1);
+
+    private static long nextId;
+
+    private Fixture() {
+    }
+
+    static Route route(String name, RouteType type, String service, List<Split> split, int retries,
+            boolean resumable, long aimMillis, int priority) {
+        return new Route(name, "h", "/" + name + "/", type, 8_000, aimMillis, priority, service, split, retries,
+                false, true, resumable, 400);
+    }
+
+    static Configuration configuration(boolean store, List<Tenant> tenants) {
+        List<Service> services = new ArrayList<>();
+        services.add(new Service("pool", "/h", 620, new Engine(128, 80_000, 131_072, 130_000, 3, 12,
+                List.of(new Model(MODEL))), null, null, 0, 0, 0));
+        services.add(new Service("ledger", "/h", 100, null, null, null, 0, 0, 0));
+        if (store) {
+            services.add(new Service("store", null, 0, null, STORE, "z1", 500_000, 130_000, 12));
+        }
+        return new Configuration(1, List.of(REVIEW, LETTER, LOOKUP, QUERY), services,
+                new Limits(16_384, 4_194_304, 3_000, 15_000), tenants);
+    }
+
+    static List<Tenant> tenants(int count) {
+        List<Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            tenants.add(new Tenant("t" + i, List.of("k" + i), null, false));
+        }
+        return tenants;
+    }
+
+    static FleetPlanner planner(boolean store, List<Tenant> tenants, int routers) {
+        FleetPlanner planner = new FleetPlanner(PlannerSettings.of("z0", REGIONS, 0.2, 10, 54, 8_000));
+        planner.onRouters(routers, 0);
+        planner.onConfiguration(configuration(store, tenants), 0);
+        return planner;
+    }
+
+    static Instance engine(String id, long version) {
+        return instance(id, "pool", 128, InstanceState.READY, List.of(new ServedModel(MODEL, version)));
+    }
+
+    static Instance server(String id) {
+        return instance(id, "ledger", 6, InstanceState.READY, List.of());
+    }
+
+    static Instance instance(String id, String service, int capacity, InstanceState state,
+            List<ServedModel> models) {
+        return new Instance(id, service, id + ":80", "z0", "v1", capacity, state, 0, models, 1);
+    }
+
+    static List<Instance> engines(int count) {
+        List<Instance> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(engine("e" + i, 1));
+        }
+        return engines;
+    }
+
+    static List<Instance> servers(int count) {
+        List<Instance> servers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            servers.add(server("s" + i));
+        }
+        return servers;
+    }
+
+    /** A dossier of a given subject: two shared parts and one of its own. */
+    static List<PromptPart> dossier(long subject) {
+        return List.of(new PromptPart(1, 2_500), new PromptPart(1_000 + subject, 3_800),
+                new PromptPart(1_000_000 + ++nextId, 2_900));
+    }
+
+    static RouteRequest request(Route route, Tenant tenant, List<PromptPart> parts, long now) {
+        int tokens = parts.stream().mapToInt(PromptPart::tokens).sum();
+        String model = route.type() == RouteType.STREAMING ? MODEL : null;
+        return new RouteRequest("q" + ++nextId, route, tenant, model, tokens, 60, parts, false, now,
+                now + 8 * SECOND);
+    }
+
+    static RouteRequest review(long subject, long now) {
+        return request(REVIEW, null, dossier(subject), now);
+    }
+
+    static RouteRequest lookup(long now) {
+        return request(LOOKUP, null, List.of(), now);
+    }
+
+    /** Places the request and sends it, whatever it says if it is refused. */
+    static Placement.Send send(Planner planner, RouteRequest request, int attempt, long now) {
+        Placement placement = planner.place(request, attempt, now);
+        if (!(placement instanceof Placement.Send send)) {
+            throw new AssertionError("refused: " + placement);
+        }
+        planner.onSent(request, send, now);
+        return send;
+    }
+
+    /** Serves the request in full, with its first event after so long. */
+    static Placement.Send serve(Planner planner, RouteRequest request, long now, long firstNanos) {
+        Placement.Send send = send(planner, request, 0, now);
+        planner.onFirstEvent(request, send, now + firstNanos);
+        planner.onEnded(request, send, AttemptOutcome.ANSWERED, null, now + firstNanos + 400 * MILLI);
+        return send;
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/burlarch/routing/FleetPlannerTest.java
@@ -0,0 +1,300 @@
+package burlarch.routing;
+
+import static burlarch.routing.Fixture.MILLI;
+import static burlarch.routing.Fixture.MODEL;
+import static burlarch.routing.Fixture.SECOND;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.configuration.Configuration.RouteType;
+import burlarch.configuration.Configuration.Split;
+import burlarch.configuration.Configuration.Tenant;
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.Instance.ServedModel;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.routing.KvEvents.KvEvent;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class FleetPlannerTest {
+    private final FleetPlanner planner = Fixture.planner(false, null, 1);
+
+    private static KvEvents held(String source, String salt, RouteRequest request) {
+        List<KvEvent> events = request.parts().stream()
+                .map(part -> new KvEvent(true, salt, part.id(), part.tokens(), MODEL)).toList();
+        return new KvEvents(source, 1, false, events);
+    }
+
+    @Test
+    void aPromptGoesBackToTheEngineThatKeepsItsParts() {
+        planner.onInstances(Fixture.engines(6), 0);
+        for (int subject = 0; subject < 20; subject++) {
+            long now = subject * 10 * SECOND;
+            Placement.Send first = Fixture.serve(planner, Fixture.review(subject, now), now, 400 * MILLI);
+            Placement.Send second = Fixture.serve(planner, Fixture.review(subject, now + 2 * SECOND),
+                    now + 2 * SECOND, 150 * MILLI);
+            assertThat(second.instance()).isEqualTo(first.instance());
+            assertThat(second.predictedFirstNanos()).isLessThan(first.predictedFirstNanos());
+        }
+    }
+
+    @Test
+    void eventsTellOfPromptsThatOthersSent() {
+        planner.onInstances(Fixture.engines(6), 0);
+        RouteRequest before = Fixture.review(7, 0);
+        for (int i = 0; i < 6; i++) {
+            FleetPlanner fresh = Fixture.planner(false, null, 1);
+            fresh.onInstances(Fixture.engines(6), 0);
+            fresh.onKvEvents(held("e" + i, "m|1", before), 0);
+            assertThat(Fixture.send(fresh, Fixture.review(7, 0), 0, 0).instance().id()).isEqualTo("e" + i);
+        }
+    }
+
+    @Test
+    void routersAgreeOnTheEngineOfAPromptThatNobodyKeeps() {
+        FleetPlanner other = Fixture.planner(false, null, 1);
+        List<Instance> reversed = new ArrayList<>(Fixture.engines(6));
+        java.util.Collections.reverse(reversed);
+        Set<String> used = new HashSet<>();
+        for (int subject = 0; subject < 40; subject++) {
+            planner.onInstances(Fixture.engines(6), 0);
+            other.onInstances(reversed, 0);
+            long now = subject * 5 * SECOND;
+            Placement.Send here = Fixture.serve(planner, Fixture.review(subject, now), now, 400 * MILLI);
+            Placement.Send there = Fixture.serve(other, Fixture.review(subject, now), now, 400 * MILLI);
+            assertThat(there.instance()).isEqualTo(here.instance());
+            used.add(here.instance().id());
+        }
+        assertThat(used).hasSize(6);
+    }
+
+    @Test
+    void aLostEngineMovesOnlyItsOwnPrompts() {
+        Map<Integer, String> before = new HashMap<>();
+        FleetPlanner smaller = Fixture.planner(false, null, 1);
+        smaller.onInstances(Fixture.engines(5), 0);
+        planner.onInstances(Fixture.engines(6), 0);
+        for (int subject = 0; subject < 60; subject++) {
+            long now = subject * 5 * SECOND;
+            String here = Fixture.serve(planner, Fixture.review(subject, now), now, 400 * MILLI).instance().id();
+            String there = Fixture.serve(smaller, Fixture.review(subject, now), now, 400 * MILLI).instance().id();
+            before.merge(here.equals(there) ? 1 : 0, "x", String::concat);
+            assertThat(here.equals(there) || here.equals("e5")).isTrue();
+        }
+    }
+
+    @Test
+    void aHotPromptIsSpreadBeforeItsEngineIsOverloaded() {
+        planner.onInstances(Fixture.engines(6), 0);
+        Map<String, Integer> sent = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            Placement.Send send = Fixture.send(planner, Fixture.review(1, 0), 0, i * 10 * MILLI);
+            sent.merge(send.instance().id(), 1, Integer::sum);
+        }
+        assertThat(sent).hasSize(6);
+        assertThat(sent.values()).allMatch(count -> count <= 20);
+    }
+
+    @Test
+    void nothingGoesToInstancesThatLoadOrLeave() {
+        List<Instance> instances = List.of(Fixture.engine("ready", 1),
+                Fixture.instance("leaving", "pool", 128, InstanceState.DRAINING, List.of()),
+                Fixture.instance("loading", "pool", 128, InstanceState.LOADING, List.of()),
+                Fixture.instance("gone", "pool", 128, InstanceState.GONE, List.of()));
+        planner.onInstances(instances, 0);
+        for (int i = 0; i < 30; i++) {
+            assertThat(Fixture.send(planner, Fixture.review(i, 0), 0, 0).instance().id()).isEqualTo("ready");
+        }
+        planner.onInstances(instances.subList(1, 4), 0);
+        assertThat(planner.place(Fixture.review(1, 0), 0, 0)).isInstanceOf(Placement.Refuse.class);
+    }
+
+    @Test
+    void anInstanceThatDoesNotConnectIsLeftAloneAndTriedAgain() {
+        planner.onInstances(Fixture.servers(3), 0);
+        RouteRequest request = Fixture.lookup(0);
+        Placement.Send dead = Fixture.send(planner, request, 0, 0);
+        planner.onEnded(request, dead, AttemptOutcome.NOT_CONNECTED, null, MILLI);
+        Placement.Send next = Fixture.send(planner, request, 1, MILLI);
+        assertThat(next.instance()).isNotEqualTo(dead.instance());
+        assertThat(idsOf(20, 2 * MILLI)).doesNotContain(dead.instance().id());
+        assertThat(idsOf(20, 2 * SECOND)).contains(dead.instance().id());
+    }
+
+    private Set<String> idsOf(int requests, long now) {
+        Set<String> ids = new HashSet<>();
+        for (int i = 0; i < requests; i++) {
+            RouteRequest request = Fixture.lookup(now);
+            Placement.Send send = Fixture.send(planner, request, 0, now);
+            ids.add(send.instance().id());
+            planner.onEnded(request, send, AttemptOutcome.ANSWERED, null, now + 30 * MILLI);
+        }
+        return ids;
+    }
+
+    @Test
+    void doubtsTakeOutHalfOfAServiceAtMost() {
+        planner.onInstances(Fixture.servers(4), 0);
+        for (int i = 0; i < 60; i++) {
+            RouteRequest request = Fixture.lookup(i);
+            if (planner.place(request, 0, i) instanceof Placement.Send send) {
+                planner.onSent(request, send, i);
+                planner.onEnded(request, send, AttemptOutcome.FAILED, null, i);
+            }
+        }
+        assertThat(idsOf(20, 100)).hasSizeGreaterThanOrEqualTo(2);
+    }
+
+    @Test
+    void whatMayHaveRunIsNotSentAgainUnlessItMayRepeat() {
+        planner.onInstances(Fixture.servers(3), 0);
+        RouteRequest once = Fixture.lookup(0);
+        planner.onEnded(once, Fixture.send(planner, once, 0, 0), AttemptOutcome.BROKEN, null, MILLI);
+        assertThat(planner.place(once, 1, MILLI)).isInstanceOf(Placement.Refuse.class);
+        RouteRequest often = Fixture.request(Fixture.QUERY, null, List.of(), 0);
+        Set<String> ids = new HashSet<>();
+        for (int attempt = 0; attempt < 3; attempt++) {
+            Placement.Send send = Fixture.send(planner, often, attempt, 0);
+            ids.add(send.instance().id());
+            planner.onEnded(often, send, AttemptOutcome.BROKEN, null, MILLI);
+        }
+        assertThat(ids).hasSize(3);
+        assertThat(planner.place(often, 3, MILLI)).isInstanceOf(Placement.Refuse.class);
+    }
+
+    @Test
+    void rejectionsAreNoRunsButBoundedAndBudgeted() {
+        planner.onInstances(Fixture.servers(5), 0);
+        RouteRequest request = Fixture.lookup(0);
+        int sends = 0;
+        while (planner.place(request, sends, 0) instanceof Placement.Send send) {
+            planner.onSent(request, send, 0);
+            planner.onEnded(request, send, AttemptOutcome.REJECTED, new ServerLoad(6, 3, 6), 0);
+            sends++;
+        }
+        assertThat(sends).isBetween(2, 3);
+    }
+
+    @Test
+    void plainRequestsSpreadEvenly() {
+        planner.onInstances(Fixture.servers(3), 0);
+        Map<String, Integer> sent = new HashMap<>();
+        for (int i = 0; i < 18; i++) {
+            sent.merge(Fixture.send(planner, Fixture.lookup(0), 0, 0).instance().id(), 1, Integer::sum);
+        }
+        assertThat(sent.values()).containsExactly(6, 6, 6);
+    }
+
+    @Test
+    void aServerThatTellsOfAQueueIsAvoided() {
+        planner.onInstances(Fixture.servers(3), 0);
+        RouteRequest request = Fixture.lookup(0);
+        Placement.Send busy = Fixture.send(planner, request, 0, 0);
+        planner.onEnded(request, busy, AttemptOutcome.ANSWERED, new ServerLoad(6, 4, 6), 30 * MILLI);
+        for (int i = 0; i < 6; i++) {
+            assertThat(Fixture.send(planner, Fixture.lookup(0), 0, 31 * MILLI).instance())
+                    .isNotEqualTo(busy.instance());
+        }
+    }
+
+    @Test
+    void aStoreGivesWhatNoEngineKeeps() {
+        FleetPlanner stored = Fixture.planner(true, null, 1);
+        stored.onInstances(Fixture.engines(4), 0);
+        assertThat(Fixture.send(stored, Fixture.review(2, 0), 0, 0).kvFetch()).isNull();
+        stored.onKvEvents(held("store", "m|1", Fixture.review(1, 0)), 0);
+        Placement.Send send = Fixture.send(stored, Fixture.review(1, 0), 0, 5 * SECOND);
+        assertThat(send.kvFetch()).isEqualTo(Fixture.STORE);
+        assertThat(send.kvSave()).isNull();
+    }
+
+    @Test
+    void aNeighbourGivesWhatTheOverloadedEngineKeeps() {
+        planner.onInstances(Fixture.engines(4), 0);
+        planner.onKvEvents(held("e0", "m|1", Fixture.review(1, 0)), 0);
+        Placement.Send send;
+        do {
+            send = Fixture.send(planner, Fixture.review(1, 0), 0, 0);
+        } while (send.instance().id().equals("e0"));
+        assertThat(send.kvFetch()).isEqualTo("e0:80");
+    }
+
+    @Test
+    void sharedPartsAreSavedWhenTheyAreReadAgain() {
+        FleetPlanner stored = Fixture.planner(true, null, 1);
+        stored.onInstances(Fixture.engines(4), 0);
+        assertThat(Fixture.serve(stored, Fixture.review(1, 0), 0, 300 * MILLI).kvSave()).isNull();
+        assertThat(Fixture.serve(stored, Fixture.review(1, 0), SECOND, 300 * MILLI).kvSave())
+                .isEqualTo(Fixture.STORE);
+        assertThat(Fixture.serve(stored, Fixture.review(1, 0), 2 * SECOND, 300 * MILLI).kvSave()).isNull();
+    }
+
+    @Test
+    void wallsAndWeightsHaveSaltsOfTheirOwn() {
+        Tenant walled = new Tenant("w", List.of(), 3, true);
+        FleetPlanner guarded = Fixture.planner(false, List.of(walled), 1);
+        guarded.onInstances(List.of(Fixture.engine("e", 4)), 0);
+        Placement.Send open = Fixture.send(guarded, Fixture.review(1, 0), 0, 0);
+        Placement.Send behind = Fixture.send(guarded,
+                Fixture.request(Fixture.REVIEW, walled, Fixture.dossier(1), 0), 0, 0);
+        assertThat(open.cacheSalt()).isEqualTo("m|4");
+        assertThat(open.expectVersion()).isEqualTo(4);
+        assertThat(open.priority()).isZero();
+        assertThat(behind.cacheSalt()).isEqualTo("m|4|w");
+        assertThat(behind.priority()).isEqualTo(3);
+        guarded.onWeightsVersion("e", MODEL, 5, 0);
+        assertThat(Fixture.send(guarded, Fixture.review(1, 0), 0, 0).cacheSalt()).isEqualTo("m|5");
+    }
+
+    @Test
+    void aRefusalForNewWeightsIsLearnedFromAndNotHeldAgainstTheEngine() {
+        planner.onInstances(List.of(Fixture.engine("e", 1)), 0);
+        RouteRequest request = Fixture.review(1, 0);
+        Placement.Send old = Fixture.send(planner, request, 0, 0);
+        planner.onWeightsVersion("e", MODEL, 2, MILLI);
+        planner.onEnded(request, old, AttemptOutcome.MISDIRECTED, null, MILLI);
+        assertThat(Fixture.send(planner, request, 1, MILLI).expectVersion()).isEqualTo(2);
+    }
+
+    @Test
+    void enginesWithOldWeightsGetNothingOnceTheNewHaveHadTime() {
+        planner.onInstances(List.of(Fixture.engine("old", 1), Fixture.engine("new", 2)), 0);
+        Set<String> early = new HashSet<>();
+        Set<String> late = new HashSet<>();
+        for (int i = 0; i < 30; i++) {
+            early.add(Fixture.serve(planner, Fixture.review(i, 0), SECOND, 100 * MILLI).instance().id());
+            late.add(Fixture.serve(planner, Fixture.review(i, 0), 6 * SECOND, 100 * MILLI).instance().id());
+        }
+        assertThat(early).contains("old", "new");
+        assertThat(late).containsExactly("new");
+    }
+
+    @Test
+    void aRequestStaysWithTheServiceThatItsHashPicked() {
+        planner.onInstances(List.of(Fixture.server("s"), Fixture.engine("e", 1)), 0);
+        List<Split> split = List.of(new Split("ledger", 90), new Split("pool", 10));
+        var route = Fixture.route("split", RouteType.IDEMPOTENT, null, split, 3, false, 150, 0);
+        int ledger = 0;
+        for (int i = 0; i < 1_000; i++) {
+            RouteRequest request = Fixture.request(route, null, List.of(), 0);
+            String first = ((Placement.Send) planner.place(request, 0, 0)).instance().id();
+            assertThat(((Placement.Send) planner.place(request, 0, 0)).instance().id()).isEqualTo(first);
+            ledger += first.equals("s") ? 1 : 0;
+        }
+        assertThat(ledger).isBetween(870, 930);
+    }
+
+    @Test
+    void aRestartedInstanceStartsFresh() {
+        planner.onInstances(List.of(Fixture.server("a")), 0);
+        RouteRequest request = Fixture.lookup(0);
+        planner.onEnded(request, Fixture.send(planner, request, 0, 0), AttemptOutcome.NOT_CONNECTED, null, 0);
+        planner.onInstances(List.of(Fixture.server("b"), Fixture.instance("a", "ledger", 6,
+                InstanceState.GONE, List.<ServedModel>of())), 0);
+        assertThat(idsOf(5, MILLI)).containsExactly("b");
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/burlarch/routing/index/PromptIndexTest.java
@@ -0,0 +1,121 @@
+package burlarch.routing.index;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.routing.KvEvents;
+import burlarch.routing.KvEvents.KvEvent;
+import burlarch.routing.RouteRequest.PromptPart;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PromptIndexTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final String SALT = "m|1";
+    private static final List<PromptPart> PARTS =
+            List.of(new PromptPart(1, 800), new PromptPart(2, 400), new PromptPart(3, 250));
+    private final PromptIndex index = new PromptIndex();
+
+    @BeforeEach
+    void knowsAnEngine() {
+        index.addSource("e", 80_000);
+    }
+
+    private static KvEvent add(long part, int tokens) {
+        return new KvEvent(true, SALT, part, tokens, "m");
+    }
+
+    private static KvEvent drop(long part, int tokens) {
+        return new KvEvent(false, SALT, part, tokens, "m");
+    }
+
+    private void events(long epoch, boolean lost, KvEvent... events) {
+        index.onEvents(new KvEvents("e", epoch, lost, List.of(events)), 0);
+    }
+
+    private int kept(long nowNanos) {
+        return index.keptPrefixTokens("e", SALT, PARTS, nowNanos);
+    }
+
+    @Test
+    void countsThePrefixUpToTheFirstPartThatIsNotWhole() {
+        events(1, false, add(1, 800), add(3, 250));
+        assertThat(kept(0)).isEqualTo(800);
+        events(1, false, add(2, 200));
+        assertThat(kept(0)).isEqualTo(1_000);
+        events(1, false, add(2, 400));
+        assertThat(kept(0)).isEqualTo(1_450);
+        events(1, false, drop(1, 128));
+        assertThat(kept(0)).isEqualTo(128);
+        events(1, false, drop(1, 0));
+        assertThat(kept(0)).isZero();
+    }
+
+    @Test
+    void aTailShorterThanABlockIsNotMissed() {
+        events(1, false, add(1, 800), add(2, 390), add(3, 240));
+        assertThat(kept(0)).isEqualTo(1_430);
+    }
+
+    @Test
+    void anotherSaltFindsNothing() {
+        events(1, false, add(1, 800));
+        assertThat(index.keptPrefixTokens("e", "m|2", PARTS, 0)).isZero();
+        assertThat(index.keptPrefixTokens("e", "m|1|walled", PARTS, 0)).isZero();
+    }
+
+    @Test
+    void aNewEpochVoidsTheSource() {
+        events(1, false, add(1, 800));
+        events(2, false, add(2, 400));
+        assertThat(kept(0)).isZero();
+        assertThat(index.size("e")).isEqualTo(1);
+    }
+
+    @Test
+    void aGapLeavesAHintUntilTheNextList() {
+        events(1, false, add(1, 800));
+        events(1, true, add(2, 400));
+        assertThat(index.isUncertain("e")).isTrue();
+        assertThat(kept(0)).isEqualTo(1_200);
+        index.onList(new KvEvents("e", 1, false, List.of(add(1, 800))), 0);
+        assertThat(index.isUncertain("e")).isFalse();
+        assertThat(kept(0)).isEqualTo(800);
+    }
+
+    @Test
+    void ownSendsCountAtOnceAndAgeUnlessConfirmed() {
+        index.expect("e", SALT, PARTS, 0);
+        assertThat(kept(SECOND)).isEqualTo(1_450);
+        assertThat(index.confirmedPrefixTokens("e", burlarch.routing.CacheSalt.hash(SALT), PARTS, SECOND)).isZero();
+        assertThat(kept(10 * SECOND)).isZero();
+        index.expect("e", SALT, PARTS, 10 * SECOND);
+        index.confirm("e", SALT, PARTS, 11 * SECOND);
+        assertThat(kept(100 * SECOND)).isEqualTo(1_450);
+        assertThat(index.confirmedPrefixTokens("e", burlarch.routing.CacheSalt.hash(SALT), PARTS, 100 * SECOND)).isEqualTo(1_450);
+    }
+
+    @Test
+    void aSendThatCameToNothingTakesOnlyItsGuessesBack() {
+        events(1, false, add(1, 800));
+        index.expect("e", SALT, PARTS, 0);
+        index.withdraw("e", SALT, PARTS);
+        assertThat(kept(0)).isEqualTo(800);
+    }
+
+    @Test
+    void newWeightsDropTheOldSaltBehindWallsToo() {
+        events(1, false, add(1, 800), new KvEvent(true, "m|1|walled", 1, 800, "m"),
+                new KvEvent(true, "m|2", 1, 800, "m"));
+        index.forget("e", "m|1");
+        assertThat(kept(0)).isZero();
+        assertThat(index.keptPrefixTokens("e", "m|1|walled", PARTS, 0)).isZero();
+        assertThat(index.keptPrefixTokens("e", "m|2", PARTS, 0)).isEqualTo(800);
+    }
+
+    @Test
+    void sourcesThatAreNotKnownTakeNoMemory() {
+        index.onEvents(new KvEvents("stranger", 1, false, List.of(add(1, 800))), 0);
+        assertThat(index.size("stranger")).isZero();
+    }
+}
