--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
@@ -0,0 +1,180 @@
+package burlarch.coordination.rollout;
+
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.rollout.RolloutAction.OwnershipLost;
+import burlarch.coordination.rollout.RolloutAction.Timer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Brings engines to the newest named weights, a few at a time, while this process holds the ownership. No
+ * I/O, no clock, not thread-safe: times are nanoseconds of one monotonic clock, and each call returns what is
+ * to be done. An engine gets an order for the same weights again only after a report that shows that the one
+ * before was not taken, and then with the report's sequence, so that a late first order can't make it two.
+ */
+public final class WeightsRollout {
+    private static final long MEMORY_OF_MISSING = TimeUnit.SECONDS.toNanos(30);
+
+    private final RolloutSettings settings;
+    private final Map<String, TrackedEngine> engines = new TreeMap<>();
+    private final Map<String, RolloutTarget> targets = new TreeMap<>();
+    private final List<RolloutAction> actions = new ArrayList<>();
+    private boolean owner;
+    private boolean tokenSeen;
+    private long fenceToken;
+
+    public WeightsRollout(RolloutSettings settings) {
+        this.settings = settings;
+    }
+
+    /** The newest version of each model, as the register has it; lower ones than before change nothing. */
+    public List<RolloutAction> onTargets(Map<String, Long> versions, long now) {
+        versions.forEach((model, version) ->
+                targets.computeIfAbsent(model, RolloutTarget::new).raise(version, now));
+        return proceed(now);
+    }
+
+    /** All instances that are known, whole; those without models are passed over. */
+    public List<RolloutAction> onInstances(Collection<Instance> instances, long now) {
+        for (TrackedEngine engine : engines.values()) {
+            engine.onMissing(now);
+        }
+        for (Instance instance : instances) {
+            if (!instance.models().isEmpty()) {
+                engines.computeIfAbsent(instance.id(),
+                        id -> new TrackedEngine(settings, actions, instance, now)).onInstance(instance);
+            }
+        }
+        forgetMissing(now);
+        observe(now);
+        return proceed(now);
+    }
+
+    /** How many requests run at an engine, where it is known without a report. */
+    public void onRunning(String instance, int running) {
+        TrackedEngine engine = engines.get(instance);
+        if (engine != null) {
+            engine.onRunning(running);
+        }
+    }
+
+    /** This process holds the ownership under that token; a token gives it once, and tokens rise. */
+    public List<RolloutAction> onOwnership(long token, long now) {
+        if (!tokenSeen || token > fenceToken) {
+            owner = true;
+            tokenSeen = true;
+            fenceToken = token;
+            for (TrackedEngine engine : engines.values()) {
+                engine.onOwnership(now);
+            }
+            observe(now);
+        }
+        return proceed(now);
+    }
+
+    /** The ownership has ended. What was ordered stays remembered as uncertain. */
+    public List<RolloutAction> onOwnershipLost(long now) {
+        loseOwnership(now);
+        return proceed(now);
+    }
+
+    /** How the order to that engine ended. */
+    public List<RolloutAction> onOrderResult(String instance, OrderResult result, long now) {
+        TrackedEngine engine = engines.get(instance);
+        if (engine != null && engine.onResult(result, fenceToken, owner, now) && owner) {
+            actions.add(new OwnershipLost(fenceToken));
+            loseOwnership(now);
+        }
+        return proceed(now);
+    }
+
+    /** The report that was asked for, null where none came. */
+    public List<RolloutAction> onReport(String instance, EngineReport report, long now) {
+        TrackedEngine engine = engines.get(instance);
+        if (engine != null) {
+            engine.onReport(report, owner, now);
+        }
+        return proceed(now);
+    }
+
+    /** The time that a {@link Timer} named has come. */
+    public List<RolloutAction> onTimer(long now) {
+        return proceed(now);
+    }
+
+    /** Whether all engines that are known have the newest weights that are named. */
+    public boolean complete() {
+        for (TrackedEngine engine : engines.values()) {
+            if (behindOf(engine) != null) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void loseOwnership(long now) {
+        owner = false;
+        for (TrackedEngine engine : engines.values()) {
+            engine.onOwnershipLost(now);
+        }
+    }
+
+    private void forgetMissing(long now) {
+        for (Iterator<TrackedEngine> all = engines.values().iterator(); all.hasNext();) {
+            TrackedEngine engine = all.next();
+            if (engine.missingFor(MEMORY_OF_MISSING, now)) {
+                engine.unmark(now);
+                all.remove();
+            }
+        }
+    }
+
+    private void observe(long now) {
+        for (TrackedEngine engine : engines.values()) {
+            engine.observe(owner, now);
+            if (owner && engine.adoptable(now)) {
+                engine.adopt(behindOf(engine), now);
+            }
+        }
+    }
+
+    /** A target that the engine has yet to reach, or null. */
+    private RolloutTarget behindOf(TrackedEngine engine) {
+        for (RolloutTarget target : targets.values()) {
+            if (engine.behind(target)) {
+                return target;
+            }
+        }
+        return null;
+    }
+
+    private List<RolloutAction> proceed(long now) {
+        boolean more = false;
+        if (owner) {
+            for (RolloutTarget target : targets.values()) {
+                more |= new RolloutWave(engines.values(), target, settings, now).begin();
+            }
+        }
+        long next = more ? now + settings.reportInterval() : Long.MAX_VALUE;
+        boolean due = more;
+        for (TrackedEngine engine : engines.values()) {
+            engine.proceed(fenceToken, owner, now);
+            long at = engine.nextDue(owner, Long.MAX_VALUE);
+            if (at != Long.MAX_VALUE && (!due || at - next < 0)) {
+                next = at;
+                due = true;
+            }
+        }
+        if (due) {
+            actions.add(new Timer(next));
+        }
+        List<RolloutAction> result = List.copyOf(actions);
+        actions.clear();
+        return result;
+    }
+}
