--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/membership/MemberTable.java
@@ -0,0 +1,179 @@
+package burlarch.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/** All other members that are known, and the only place where their state changes. */
+final class MemberTable {
+    private final int maxMembers;
+    private final Map<String, MemberRecord> byName = new HashMap<>();
+    private final Map<Long, MemberRecord> byProcess = new HashMap<>();
+    private final List<MemberRecord> suspects = new ArrayList<>();
+    private final List<MemberRecord> ended = new ArrayList<>();
+    private long digest;
+    private long refused;
+
+    MemberTable(int maxMembers, long ownProcess) {
+        this.maxMembers = maxMembers;
+        digest = mix(ownProcess);
+    }
+
+    /**
+     * The one function for every change of state: takes the claim if it supersedes what is known.
+     *
+     * @param suspicion how long a suspected member may object, in nanoseconds
+     * @return the row if it changed, else null
+     */
+    MemberRecord apply(MemberClaim claim, long suspicion, long now, List<MemberChange> changes) {
+        MemberRecord known = byName.get(claim.info().name());
+        if (known == null) {
+            return claim.state().live() ? add(claim, suspicion, now, changes) : null;
+        }
+        if (!claim.supersedes(known.claim)) {
+            return null;
+        }
+        MemberState before = known.state();
+        if (!claim.sameProcess(known.claim)) {
+            if (before.live()) {
+                changes.add(new MemberChange(known.info(), before, MemberState.DEAD));
+            }
+            before = null;
+        }
+        leaveLists(known);
+        known.claim = claim;
+        enterLists(known, suspicion, now);
+        if (before != claim.state()) {
+            changes.add(new MemberChange(claim.info(), before, claim.state()));
+        }
+        return known;
+    }
+
+    /** Gives every suspected member its whole time to object again. */
+    void restartSuspicions(long suspicion, long now) {
+        for (MemberRecord suspect : suspects) {
+            suspect.suspectUntil = now + suspicion;
+        }
+    }
+
+    /** A suspected member whose time to object has passed, or null. */
+    MemberRecord overdue(long now) {
+        for (MemberRecord suspect : suspects) {
+            if (now - suspect.suspectUntil >= 0) {
+                return suspect;
+            }
+        }
+        return null;
+    }
+
+    /** How long until {@link #overdue} may have one, at most {@code atMost}. */
+    long untilOverdue(long now, long atMost) {
+        long least = atMost;
+        for (MemberRecord suspect : suspects) {
+            least = Math.min(least, suspect.suspectUntil - now);
+        }
+        return least;
+    }
+
+    /** Removes and returns a row that ended longer ago than {@code age}, or null. */
+    MemberRecord forgetOne(long age, long now) {
+        Iterator<MemberRecord> rows = ended.iterator();
+        while (rows.hasNext()) {
+            MemberRecord row = rows.next();
+            if (now - row.endedAt >= age) {
+                rows.remove();
+                remove(row);
+                return row;
+            }
+        }
+        return null;
+    }
+
+    MemberRecord get(String name) {
+        return byName.get(name);
+    }
+
+    MemberRecord ofProcess(long process) {
+        return byProcess.get(process);
+    }
+
+    Collection<MemberRecord> rows() {
+        return byName.values();
+    }
+
+    /** Those that died or left and aren't forgotten. */
+    List<MemberRecord> ended() {
+        return ended;
+    }
+
+    /** Live members without the own process. */
+    int liveCount() {
+        return byName.size() - ended.size();
+    }
+
+    /** Sum over the live processes, the own one included: equal where the same ones are known. */
+    long digest() {
+        return digest;
+    }
+
+    /** Members that were not taken in for want of room. */
+    long refused() {
+        return refused;
+    }
+
+    private MemberRecord add(MemberClaim claim, long suspicion, long now, List<MemberChange> changes) {
+        if (byName.size() >= maxMembers) {
+            if (ended.isEmpty()) {
+                refused++;
+                return null;
+            }
+            remove(ended.remove(0));
+        }
+        MemberRecord added = new MemberRecord(claim);
+        byName.put(claim.info().name(), added);
+        enterLists(added, suspicion, now);
+        changes.add(new MemberChange(claim.info(), null, claim.state()));
+        return added;
+    }
+
+    private void remove(MemberRecord row) {
+        byName.remove(row.name());
+        byProcess.remove(row.info().incarnationOfProcess(), row);
+    }
+
+    private void leaveLists(MemberRecord row) {
+        byProcess.remove(row.info().incarnationOfProcess(), row);
+        if (row.state().live()) {
+            digest -= mix(row.info().incarnationOfProcess());
+        }
+        if (row.state() == MemberState.SUSPECT) {
+            suspects.remove(row);
+        } else if (!row.state().live()) {
+            ended.remove(row);
+        }
+    }
+
+    private void enterLists(MemberRecord row, long suspicion, long now) {
+        byProcess.put(row.info().incarnationOfProcess(), row);
+        if (row.state().live()) {
+            digest += mix(row.info().incarnationOfProcess());
+        }
+        if (row.state() == MemberState.SUSPECT) {
+            row.suspectUntil = now + suspicion;
+            suspects.add(row);
+        } else if (!row.state().live()) {
+            row.endedAt = now;
+            ended.add(row);
+        }
+    }
+
+    /** The finalizer of SplitMix64. */
+    private static long mix(long value) {
+        long z = (value ^ value >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return z ^ z >>> 31;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/membership/TableSync.java
@@ -0,0 +1,81 @@
+package burlarch.coordination.membership;
+
+/** Whole tables, asked for at the start and where another's differs though no news is under way. */
+final class TableSync {
+    private static final int MAX_PAUSE_FACTOR = 16;
+    private static final int MAX_ANSWERS_PER_PERIOD = 16;
+
+    private final SwimSettings settings;
+    private final Beliefs beliefs;
+    private final Outbound outbound;
+    private long nextRequest;
+    private long digestAtRequest;
+    private int pauseFactor = 1;
+    private int answers;
+
+    TableSync(SwimSettings settings, Beliefs beliefs, Outbound outbound, long now) {
+        this.settings = settings;
+        this.beliefs = beliefs;
+        this.outbound = outbound;
+        nextRequest = now;
+    }
+
+    /** Called once a period. */
+    void onPeriod() {
+        answers = 0;
+    }
+
+    /** Asks for the other's table unless another was asked just before. */
+    void request(String to, long now) {
+        if (now - nextRequest < 0) {
+            return;
+        }
+        boolean inVain = digestAtRequest == beliefs.table().digest();
+        pauseFactor = inVain ? Math.min(MAX_PAUSE_FACTOR, pauseFactor * 2) : 1;
+        digestAtRequest = beliefs.table().digest();
+        nextRequest = now + settings.syncPause() * pauseFactor;
+        outbound.syncRequest(to);
+    }
+
+    /** Asks for the other's table if it differs from the own one and nothing else explains that. */
+    void compare(String from, SwimMessage.Header header, long now) {
+        if (header.digest() != beliefs.table().digest() && beliefs.quiet(now)) {
+            request(from, now);
+        }
+    }
+
+    /** Sends the whole table, at a bounded rate: who gets none asks again. */
+    void onRequest(String from) {
+        if (answers < MAX_ANSWERS_PER_PERIOD) {
+            answers++;
+            outbound.pages(from);
+        }
+    }
+
+    /** Takes up a page or the claim that comes with a request; the first claim is the sender's own. */
+    void onClaims(String from, SwimMessage message, int sequence, long now) {
+        boolean first = true;
+        for (MemberClaim claim : message.claims()) {
+            if (first) {
+                beliefs.learn(claim, now);
+                first = false;
+            } else {
+                beliefs.learnFromTable(claim, now);
+            }
+        }
+        if (!message.claims().isEmpty()) {
+            answerOutweighed(from, message, sequence);
+        }
+    }
+
+    /** Tells a sender whose word on itself does not hold here what does, so that it can raise its own. */
+    private void answerOutweighed(String from, SwimMessage message, int sequence) {
+        MemberClaim said = message.claims().get(0);
+        MemberRecord known = beliefs.table().get(said.info().name());
+        boolean sendersOwn = said.info().incarnationOfProcess() == message.header().process();
+        if (sendersOwn && said.state().live() && known != null
+                && (!known.claim.sameProcess(said) || known.state() != MemberState.ALIVE)) {
+            outbound.ping(from, sequence, message.header().process(), known.claim);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/burlarch/coordination/ownership/ShardOwners.java
@@ -0,0 +1,85 @@
+package burlarch.coordination.ownership;
+
+import burlarch.coordination.membership.MemberInfo;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.TreeSet;
+
+/**
+ * Who looks after which key, by rendezvous hashing: every member scores a hash of itself and the key, and the
+ * highest owns it. All that know the same members agree; a member that goes moves only its own keys.
+ */
+public final class ShardOwners {
+    private static final long FNV_OFFSET = 0xCBF29CE484222325L;
+    private static final long FNV_PRIME = 0x100000001B3L;
+
+    private final List<String> members;
+    private final long[] memberHashes;
+    private final List<String> keys;
+
+    /**
+     * @param members names of those that share the keys
+     * @param keys the keys that {@link #keysOf} divides; {@link #ownerOf} answers for any other too
+     */
+    public ShardOwners(Collection<String> members, Collection<String> keys) {
+        this.members = List.copyOf(new TreeSet<>(members));
+        this.keys = List.copyOf(keys);
+        memberHashes = new long[this.members.size()];
+        for (int i = 0; i < memberHashes.length; i++) {
+            memberHashes[i] = hash(this.members.get(i));
+        }
+    }
+
+    /** Divides the keys among those of the members that have this role. */
+    public static ShardOwners ofRole(String role, Collection<MemberInfo> members, Collection<String> keys) {
+        List<String> names = new ArrayList<>();
+        for (MemberInfo member : members) {
+            if (member.role().equals(role)) {
+                names.add(member.name());
+            }
+        }
+        return new ShardOwners(names, keys);
+    }
+
+    /** Name of the key's owner, or null where there is no member. */
+    public String ownerOf(String key) {
+        long keyHash = hash(key);
+        String owner = null;
+        long best = Long.MIN_VALUE;
+        for (int i = 0; i < memberHashes.length; i++) {
+            long score = mix(memberHashes[i] ^ keyHash);
+            if (owner == null || score > best) {
+                owner = members.get(i);
+                best = score;
+            }
+        }
+        return owner;
+    }
+
+    /** The keys that this member owns, in their given order. */
+    public List<String> keysOf(String member) {
+        List<String> owned = new ArrayList<>();
+        for (String key : keys) {
+            if (member.equals(ownerOf(key))) {
+                owned.add(key);
+            }
+        }
+        return owned;
+    }
+
+    private static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    /** The finalizer of SplitMix64. */
+    private static long mix(long value) {
+        long z = (value ^ value >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return z ^ z >>> 31;
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/budget/LiveCountEstimateTest.java
@@ -0,0 +1,183 @@
+package burlarch.coordination.budget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class LiveCountEstimateTest {
+    private static final BudgetSettings SETTINGS = new BudgetSettings(10_000, 3_000, 1_000, 0.2, 8, 64);
+
+    private final LiveCountEstimate estimate = new LiveCountEstimate(SETTINGS, false, 0);
+
+    private void contactUntil(long end) {
+        for (long now = 0; now <= end; now += 500) {
+            estimate.contact(now);
+        }
+    }
+
+    @Test
+    void itRisesAtOnceAndFallsAfterTheWindow() {
+        estimate.appeared(1, 0);
+        estimate.appeared(2, 0);
+        assertThat(estimate.count(0)).isEqualTo(3);
+        estimate.disappeared(2, 100);
+        assertThat(estimate.count(14_099)).isEqualTo(3);
+        assertThat(estimate.count(14_100)).isEqualTo(2);
+    }
+
+    @Test
+    void aReturningRouterIsCountedOnce() {
+        estimate.appeared(1, 0);
+        estimate.disappeared(1, 100);
+        estimate.appeared(1, 200);
+        assertThat(estimate.count(90_000)).isEqualTo(2);
+    }
+
+    @Test
+    void aNewRouterBeginsWithAPartOfTheReserve() {
+        assertThat(estimate.share(0)).isEqualTo(0.2 / 64, within(1e-9));
+        estimate.contact(0);
+        estimate.heard(20);
+        assertThat(estimate.share(0)).isEqualTo(0.2 / 20, within(1e-9));
+        estimate.appeared(1, 0);
+        contactUntil(14_000);
+        assertThat(estimate.share(13_999)).isEqualTo(0.2 / 20, within(1e-9));
+        assertThat(estimate.share(14_000)).isEqualTo(0.4, within(1e-9));
+    }
+
+    @Test
+    void atTheFirstStartOfAllItWaitsOnlyForTheNewsToSpread() {
+        LiveCountEstimate first = new LiveCountEstimate(SETTINGS, true, 0);
+        first.contact(500);
+        first.appeared(1, 600);
+        assertThat(first.settled(2_499)).isFalse();
+        assertThat(first.share(2_500)).isEqualTo(0.4, within(1e-9));
+        LiveCountEstimate late = new LiveCountEstimate(SETTINGS, true, 0);
+        late.contact(1_000);
+        assertThat(late.settled(3_999)).isFalse();
+    }
+
+    @Test
+    void aRouterThatIsCutOffKeepsItsShareAndThenTurnsToTheReserve() {
+        estimate.appeared(1, 0);
+        contactUntil(15_000);
+        assertThat(estimate.share(17_999)).isEqualTo(0.4, within(1e-9));
+        assertThat(estimate.share(18_000)).isEqualTo(0.2 / 8, within(1e-9));
+        estimate.contact(19_000);
+        assertThat(estimate.share(19_000)).isEqualTo(0.2 / 8, within(1e-9));
+    }
+
+    /**
+     * Up to eight routers come, go, and are cut off at random; what they may use is summed over each window.
+     */
+    @Test
+    void theSharesNeverSumToMoreThanTheWhole() {
+        for (int seed = 0; seed < 100; seed++) {
+            assertThat(new Play(seed).largestSum()).isLessThanOrEqualTo(1 + 1e-9);
+        }
+    }
+
+    /** Each router uses its largest share of any moment of a window in that window. */
+    private static final class Play {
+        private static final long STEP = 250;
+        private static final int MOST = 8;
+
+        private static final class Router {
+            final LiveCountEstimate estimate;
+            final Map<Long, Boolean> seen = new HashMap<>();
+            long cutUntil;
+            final long[] usedAt = new long[4_000];
+            final double[] shares = new double[4_000];
+            int uses;
+
+            Router(long now) {
+                estimate = new LiveCountEstimate(SETTINGS, now == 0, now);
+            }
+        }
+
+        private final Random random;
+        private final Map<Long, Router> live = new HashMap<>();
+        private final List<Router> all = new ArrayList<>();
+        private long nextProcess;
+
+        Play(int seed) {
+            random = new Random(seed);
+            for (int i = random.nextInt(MOST); i >= 0; i--) {
+                start(0);
+            }
+        }
+
+        private void start(long now) {
+            Router router = new Router(now);
+            live.put(nextProcess++, router);
+            all.add(router);
+        }
+
+        double largestSum() {
+            double largest = 0;
+            for (long now = STEP; now < 120_000; now += STEP) {
+                comeAndGo(now);
+                for (Map.Entry<Long, Router> entry : live.entrySet()) {
+                    look(entry.getKey(), entry.getValue(), now);
+                }
+                largest = Math.max(largest, sum(now));
+            }
+            return largest;
+        }
+
+        private void comeAndGo(long now) {
+            if (live.size() < MOST && random.nextInt(40) == 0) {
+                start(now);
+            }
+            live.values().removeIf(router -> live.size() > 1 && random.nextInt(400) == 0);
+            for (Router router : live.values()) {
+                if (now >= router.cutUntil && random.nextInt(200) == 0) {
+                    router.cutUntil = now + random.nextInt(40_000);
+                }
+            }
+        }
+
+        private void look(long process, Router router, long now) {
+            if (now >= router.cutUntil) {
+                router.estimate.contact(now);
+                router.estimate.heard(live.size());
+                for (Map.Entry<Long, Router> other : live.entrySet()) {
+                    boolean visible = now >= other.getValue().cutUntil && other.getKey() != process;
+                    if (visible && router.seen.put(other.getKey(), true) != Boolean.TRUE) {
+                        router.estimate.appeared(other.getKey(), now);
+                    }
+                }
+                router.seen.replaceAll((key, seen) -> stillSeen(router, key, seen, now));
+            }
+            router.usedAt[router.uses] = now;
+            router.shares[router.uses++] = router.estimate.share(now);
+        }
+
+        private boolean stillSeen(Router router, long key, boolean seen, long now) {
+            Router other = live.get(key);
+            boolean visible = other != null && now >= other.cutUntil;
+            if (seen && !visible) {
+                router.estimate.disappeared(key, now);
+            }
+            return visible;
+        }
+
+        private double sum(long now) {
+            double sum = 0;
+            for (Router router : all) {
+                double most = 0;
+                for (int i = router.uses - 1; i >= 0 && now - router.usedAt[i] < SETTINGS.window(); i--) {
+                    most = Math.max(most, router.shares[i]);
+                }
+                sum += most;
+            }
+            return sum;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/membership/Datagrams.java
@@ -0,0 +1,85 @@
+package burlarch.coordination.membership;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A few members that hand each other datagrams in order and without delay, on a clock of their own. */
+final class Datagrams {
+    static final long MILLISECOND = 1_000_000L;
+
+    private record Sent(String from, SwimStep.Datagram datagram) {
+    }
+
+    final Map<String, Swim> byAddress = new HashMap<>();
+    final Map<String, Long> wakeUps = new HashMap<>();
+    final Map<String, List<MemberChange>> changes = new HashMap<>();
+    final Set<String> silent = new HashSet<>();
+    final Set<String> frozen = new HashSet<>();
+    long now = -5 * MILLISECOND;
+    private final Deque<Sent> wire = new ArrayDeque<>();
+    private int largest;
+
+    static MemberInfo info(int number, long process) {
+        return new MemberInfo("member-" + number, "10.0.0." + number + ":7000", "router", "zone", process);
+    }
+
+    static String address(int number) {
+        return info(number, 1).address();
+    }
+
+    Swim start(MemberInfo info, String... seeds) {
+        Swim swim = new Swim(info, List.of(seeds), SwimSettings.defaults(), info.incarnationOfProcess(), now);
+        byAddress.put(info.address(), swim);
+        wakeUps.put(info.address(), now);
+        changes.put(info.address(), new ArrayList<>());
+        return swim;
+    }
+
+    void kill(String address) {
+        byAddress.remove(address);
+        wakeUps.remove(address);
+    }
+
+    void take(String address, SwimStep step) {
+        wakeUps.put(address, step.wakeUpAt());
+        changes.get(address).addAll(step.changes());
+        for (SwimStep.Datagram datagram : step.datagrams()) {
+            largest = Math.max(largest, datagram.bytes().length);
+            if (!silent.contains(address)) {
+                wire.add(new Sent(address, datagram));
+            }
+        }
+    }
+
+    void run(long millis) {
+        long end = now + millis * MILLISECOND;
+        for (; now - end < 0; now += MILLISECOND) {
+            for (String address : List.copyOf(byAddress.keySet())) {
+                if (!frozen.contains(address) && now - wakeUps.get(address) >= 0) {
+                    take(address, byAddress.get(address).onTimer(now));
+                }
+            }
+            deliver();
+        }
+    }
+
+    int largest() {
+        return largest;
+    }
+
+    private void deliver() {
+        while (!wire.isEmpty()) {
+            Sent sent = wire.removeFirst();
+            String to = sent.datagram().to();
+            if (byAddress.containsKey(to) && !silent.contains(to) && !frozen.contains(to)) {
+                take(to, byAddress.get(to).onDatagram(sent.from(), sent.datagram().bytes(), now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/membership/SwimTest.java
@@ -0,0 +1,162 @@
+package burlarch.coordination.membership;
+
+import static burlarch.coordination.membership.Datagrams.address;
+import static burlarch.coordination.membership.Datagrams.info;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class SwimTest {
+    private final Datagrams net = new Datagrams();
+
+    private void startFive() {
+        for (int i = 1; i <= 5; i++) {
+            net.start(info(i, 100 + i), address(1), address(2));
+        }
+    }
+
+    private Swim at(int number) {
+        return net.byAddress.get(address(number));
+    }
+
+    @Test
+    void membersFindEachOtherThroughSeeds() {
+        startFive();
+        net.run(2_000);
+        for (int i = 1; i <= 5; i++) {
+            assertThat(at(i).members()).hasSize(4);
+            assertThat(at(i).joined()).isTrue();
+        }
+    }
+
+    @Test
+    void aSeedThatComesLateIsAskedAgain() {
+        net.start(info(2, 102), address(1));
+        net.run(3_000);
+        assertThat(at(2).joined()).isFalse();
+        net.start(info(1, 101), address(1));
+        net.run(500);
+        assertThat(at(2).joined()).isTrue();
+        assertThat(at(1).stateOf("member-2")).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void aKilledMemberIsSuspectedThenDeadThenForgotten() {
+        startFive();
+        net.run(3_000);
+        net.kill(address(5));
+        net.run(1_500);
+        assertThat(at(1).stateOf("member-5")).isEqualTo(MemberState.SUSPECT);
+        net.run(2_500);
+        for (int i = 1; i <= 4; i++) {
+            assertThat(at(i).stateOf("member-5")).isEqualTo(MemberState.DEAD);
+            assertThat(at(i).members()).hasSize(3);
+        }
+        net.run(65_000);
+        assertThat(at(1).stateOf("member-5")).isNull();
+    }
+
+    @Test
+    void aMemberThatWasCutOffForLongComesBack() {
+        startFive();
+        net.run(3_000);
+        net.silent.add(address(4));
+        net.run(6_000);
+        assertThat(at(1).stateOf("member-4")).isEqualTo(MemberState.DEAD);
+        net.silent.clear();
+        net.run(3_000);
+        for (int i = 1; i <= 5; i++) {
+            assertThat(at(i).members()).hasSize(4);
+        }
+    }
+
+    @Test
+    void aRestartedProcessReplacesItsFormerSelfAtOnce() {
+        startFive();
+        net.run(3_000);
+        net.kill(address(3));
+        net.start(info(3, 7), address(1), address(2));
+        net.run(100);
+        assertThat(net.changes.get(address(1)))
+                .contains(new MemberChange(info(3, 103), MemberState.ALIVE, MemberState.DEAD),
+                        new MemberChange(info(3, 7), null, MemberState.ALIVE));
+        net.run(2_000);
+        for (int i : new int[] {1, 2, 4, 5}) {
+            assertThat(at(i).members()).contains(info(3, 7)).doesNotContain(info(3, 103)).hasSize(4);
+        }
+    }
+
+    @Test
+    void anotherProcessAtTheAddressEndsTheFormerOne() {
+        startFive();
+        net.run(3_000);
+        net.kill(address(3));
+        net.start(new MemberInfo("other", address(3), "router", "zone", 9), address(1));
+        net.run(3_000);
+        assertThat(at(1).stateOf("member-3")).isEqualTo(MemberState.DEAD);
+        assertThat(at(1).stateOf("other")).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void aFrozenMemberBlamesNobodyAfterItsPause() {
+        startFive();
+        net.run(3_000);
+        net.changes.get(address(2)).clear();
+        net.frozen.add(address(2));
+        net.run(10_000);
+        net.frozen.clear();
+        net.run(5_000);
+        assertThat(net.changes.get(address(2))).noneMatch(MemberChange::disappeared);
+        assertThat(at(1).stateOf("member-2")).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void aLeavingMemberIsGoneAtOnceAndIsNotSuspected() {
+        startFive();
+        net.run(3_000);
+        net.take(address(5), at(5).leave(net.now));
+        net.run(1);
+        for (int i = 1; i <= 4; i++) {
+            assertThat(at(i).stateOf("member-5")).isEqualTo(MemberState.LEFT);
+        }
+    }
+
+    @Test
+    void garbledDatagramsAreCountedAndDropped() {
+        startFive();
+        net.run(1_000);
+        at(1).onDatagram(address(9), new byte[] {1, 2, 3}, net.now);
+        at(1).onDatagram(address(9), new byte[0], net.now);
+        assertThat(at(1).droppedDatagrams()).isEqualTo(2);
+        assertThat(at(1).members()).hasSize(4);
+    }
+
+    @Test
+    void datagramsKeepTheirBound() {
+        for (int i = 1; i <= 60; i++) {
+            net.start(info(i, 100 + i), address(1), address(2));
+        }
+        net.run(10_000);
+        for (int i = 1; i <= 60; i++) {
+            assertThat(at(i).members()).hasSize(59);
+        }
+        assertThat(net.largest()).isLessThanOrEqualTo(SwimSettings.defaults().maxDatagram());
+    }
+
+    @Test
+    void theTableIsBounded() {
+        SwimSettings standard = SwimSettings.defaults();
+        SwimSettings small = new SwimSettings(standard.probePeriod(), standard.probeTimeout(), 3, 3, 4, 1_200,
+                2, standard.forgetDead(), standard.syncPause());
+        Swim swim = new Swim(info(1, 1), java.util.List.of(), small, 1, 0);
+        swim.onTimer(0);
+        for (int i = 2; i <= 9; i++) {
+            MemberClaim claim = new MemberClaim(info(i, i), 0, MemberState.ALIVE);
+            SwimMessage message = new SwimMessage.SyncPage(new SwimMessage.Header(i, 0),
+                    java.util.List.of(claim));
+            swim.onDatagram(address(i), SwimCodec.encode(message), 0);
+        }
+        assertThat(swim.members()).hasSize(2);
+        assertThat(swim.refusedMembers()).isPositive();
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/ownership/OwnershipLeaseTest.java
@@ -0,0 +1,143 @@
+package burlarch.coordination.ownership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class OwnershipLeaseTest {
+    private static final long LEASE = 3_000;
+
+    private final OwnershipLease lease = new OwnershipLease("a", LEASE);
+
+    private void hold(String former) {
+        lease.claim();
+        lease.claimTaken(7, former, 0, 10);
+    }
+
+    @Test
+    void theFirstHolderEverActsAtOnce() {
+        hold(null);
+        assertThat(lease.state()).isEqualTo(LeaseState.HOLDING);
+        assertThat(lease.mayAct(20)).isTrue();
+        assertThat(lease.token()).isEqualTo(7);
+    }
+
+    @Test
+    void aFormerHolderIsWaitedOut() {
+        hold("b");
+        assertThat(lease.state()).isEqualTo(LeaseState.WAITING_OUT);
+        for (long now = 100; now < 3_010; now += 100) {
+            lease.registerShows("a", 7, now);
+            lease.onTimer(now);
+            assertThat(lease.mayAct(now)).isFalse();
+        }
+        lease.onTimer(3_010);
+        assertThat(lease.mayAct(3_010)).isTrue();
+    }
+
+    @Test
+    void withoutContactItPausesAtHalfALeaseAndIsLostAfterAWholeOne() {
+        hold(null);
+        assertThat(lease.mayAct(1_499)).isTrue();
+        assertThat(lease.mayAct(1_500)).isFalse();
+        lease.registerShows("a", 7, 1_400);
+        assertThat(lease.mayAct(2_800)).isTrue();
+        lease.onTimer(4_400);
+        assertThat(lease.state()).isEqualTo(LeaseState.LOST);
+        lease.registerShows("a", 7, 4_500);
+        assertThat(lease.mayAct(4_500)).isFalse();
+    }
+
+    @Test
+    void anotherHolderOrAHigherTokenEndsItAtOnce() {
+        hold(null);
+        lease.registerShows("a", 8, 5);
+        assertThat(lease.state()).isEqualTo(LeaseState.LOST);
+        lease.release();
+        lease.claim();
+        lease.claimTaken(9, "a", 10, 20);
+        lease.registerShows("b", 9, 15);
+        assertThat(lease.mayAct(30)).isFalse();
+        assertThat(lease.state()).isEqualTo(LeaseState.LOST);
+    }
+
+    @Test
+    void anOldViewOfTheRegisterIsNoLoss() {
+        hold("b");
+        lease.registerShows("b", 6, 1);
+        assertThat(lease.state()).isEqualTo(LeaseState.WAITING_OUT);
+    }
+
+    @Test
+    void aFailedClaimMayBeMadeAgain() {
+        assertThat(lease.claim()).isTrue();
+        assertThat(lease.claim()).isFalse();
+        lease.claimFailed();
+        assertThat(lease.claim()).isTrue();
+    }
+
+    /**
+     * Processes that freeze, lose contact and claim at random never act within half a lease of each other.
+     */
+    @Test
+    void noTwoActAtOnceWhateverHappens() {
+        for (int seed = 0; seed < 300; seed++) {
+            new Play(seed).run();
+        }
+    }
+
+    private static final class Play {
+        private final Random random;
+        private final List<OwnershipLease> leases = new ArrayList<>();
+        private final long[] unreachableUntil = new long[3];
+        private String holder;
+        private long token;
+        private int lastActor = -1;
+        private long lastAct;
+
+        Play(int seed) {
+            random = new Random(seed);
+            for (int i = 0; i < 3; i++) {
+                leases.add(new OwnershipLease("p" + i, LEASE));
+            }
+        }
+
+        void run() {
+            for (long now = 0; now < 60_000; now += 50) {
+                for (int i = 0; i < 3; i++) {
+                    if (random.nextInt(200) == 0) {
+                        unreachableUntil[i] = now + random.nextInt(8_000);
+                    }
+                    turn(i, leases.get(i), now);
+                }
+            }
+        }
+
+        private void turn(int index, OwnershipLease lease, long now) {
+            lease.onTimer(now);
+            if (now >= unreachableUntil[index]) {
+                reach(index, lease, now);
+            }
+            if (lease.mayAct(now)) {
+                assertThat(lastActor == index || lastActor < 0 || now - lastAct >= LEASE / 2).isTrue();
+                lastActor = index;
+                lastAct = now;
+            }
+        }
+
+        private void reach(int index, OwnershipLease lease, long now) {
+            if (lease.state() == LeaseState.LOST) {
+                lease.release();
+            }
+            lease.registerShows(holder, token, now - 20);
+            if (lease.state() == LeaseState.FREE && random.nextInt(40) == 0 && lease.claim()) {
+                String former = holder;
+                holder = "p" + index;
+                lease.claimTaken(++token, former, now - 40, now);
+            }
+        }
+    }
+}
