--- a/coordination/src/main/java/burlarch/coordination/budget/BudgetSettings.java
+++ b/coordination/src/main/java/burlarch/coordination/budget/BudgetSettings.java
@@ -26,7 +26,9 @@
         return new BudgetSettings(window, window / 2, 2 * SECOND, 0.2, 8, 4_096);
     }
 
-    /** How long a router that went out of sight is still counted, and how long a new one waits to be counted. */
+    /**
+     * How long a router that went out of sight is still counted, and how long a new one waits to be counted.
+     */
     long hold() {
         return window + contactLimit + spreadTime;
     }
--- a/coordination/src/main/java/burlarch/coordination/budget/LiveCountEstimate.java
+++ b/coordination/src/main/java/burlarch/coordination/budget/LiveCountEstimate.java
@@ -5,22 +5,23 @@
 import java.util.Map;
 
 /**
- * How much of a budget that all routers share this one may use. Cautious: the count of the others rises at once
- * when one appears and falls only long after one was last seen.
+ * How much of a budget that all routers share this one may use. Cautious: the count of the others rises at
+ * once when one appears and falls only long after one was last seen.
  *
- * <p>Why the shares never sum to more than the whole, in any span of the budget's window. Let W be that window, L
- * the limit of contact and S the time in which routers that are in contact with a quorum learn of each other. A
- * router uses a full share, (1 - r) / count, only if it had contact within L and has had it for L + S + W; else it
- * uses a part of the reserve r. Let n routers use a full share in a span of length W, A and B among them.
+ * <p>Why the shares never sum to more than the whole, in any span of the budget's window. Let W be that
+ * window, L the limit of contact and S the time in which routers that are in contact with a quorum learn of
+ * each other. A router uses a full share, (1 - r) / count, only if it had contact within L and has had it for
+ * L + S + W; else it uses a part of the reserve r. Let n routers use a full share in a span of length W, A
+ * and B among them.
  *
- * <p>(1) When B begins to, it has been in contact for L + S + W. By L + S of that, A, if it uses a full share at
- * all, has had contact after B came and so has learned of it: A counts B for W before B's first full share, so in
- * every span that holds a full share of both. (2) If B ends or is cut off, its last full share comes at most L
- * after its last contact, and A loses sight of it no earlier than S before that contact ended. The last full share
- * leaves the span W later, and A counts B for W + L + S after it went out of sight. By (1) and (2) each of the n
- * counts n or more in the whole span, and the full shares sum to n (1 - r) / n at most. The others' sum to r as
- * long as no more of them are new or cut off in a span than the larger of the count that they heard and
- * {@link BudgetSettings#unsettledRouters()}.
+ * <p>(1) When B begins to, it has been in contact for L + S + W. By L + S of that, A, if it uses a full share
+ * at all, has had contact after B came and so has learned of it: A counts B for W before B's first full
+ * share, so in every span that holds a full share of both. (2) If B ends or is cut off, its last full share
+ * comes at most L after its last contact, and A loses sight of it no earlier than S before that contact
+ * ended. The last full share leaves the span W later, and A counts B for W + L + S after it went out of
+ * sight. By (1) and (2) each of the n counts n or more in the whole span, and the full shares sum to n (1 -
+ * r) / n at most. The others' sum to r as long as no more of them are new or cut off in a span than the
+ * larger of the count that they heard and {@link BudgetSettings#unsettledRouters()}.
  *
  * <p>At the first start of the whole fleet nobody has used anything, so those that have contact within S need
  * only wait for 2 S, when all of them have learned of each other.
@@ -36,7 +37,9 @@
     private long contactSince;
     private long contactAt;
 
-    /** @param firstStart whether the whole fleet starts for the first time, all within the time of spreading */
+    /**
+     * @param firstStart whether the whole fleet starts for the first time, all within the time of spreading
+     */
     public LiveCountEstimate(BudgetSettings settings, boolean firstStart, long now) {
         this.settings = settings;
         this.firstStart = firstStart;
--- a/coordination/src/main/java/burlarch/coordination/membership/Beliefs.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/Beliefs.java
@@ -33,8 +33,8 @@
     }
 
     /**
-     * Takes up a row of another's table. Such a table may be old or come from beyond a healed cut, so it makes no
-     * one dead at once, and only what needs an answer goes on.
+     * Takes up a row of another's table. Such a table may be old or come from beyond a healed cut, so it
+     * makes no one dead at once, and only what needs an answer goes on.
      */
     void learnFromTable(MemberClaim claim, long now) {
         if (isOwnName(claim)) {
--- a/coordination/src/main/java/burlarch/coordination/membership/ContactList.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/ContactList.java
@@ -5,8 +5,8 @@
 import java.util.Random;
 
 /**
- * Addresses at which someone may be met whose identity isn't known: the seeds, and some where a member was lost.
- * They are how the halves of a long cut find each other again.
+ * Addresses at which someone may be met whose identity isn't known: the seeds, and some where a member was
+ * lost. They are how the halves of a long cut find each other again.
  */
 final class ContactList {
     private static final int MAX_LOST = 16;
--- a/coordination/src/main/java/burlarch/coordination/membership/LocalHealth.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/LocalHealth.java
@@ -1,8 +1,8 @@
 package burlarch.coordination.membership;
 
 /**
- * How far a member trusts itself. Signs that it is the slow or cut-off one make it slower to blame others, as in
- * Lifeguard's local health multiplier.
+ * How far a member trusts itself. Signs that it is the slow or cut-off one make it slower to blame others, as
+ * in Lifeguard's local health multiplier.
  */
 final class LocalHealth {
     private static final int WORST = 3;
--- a/coordination/src/main/java/burlarch/coordination/membership/MemberClaim.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/MemberClaim.java
@@ -18,9 +18,10 @@
     /**
      * Whether this claim takes the place of a known one on the same name.
      *
-     * <p>Within one process the higher incarnation wins, then the graver state. That another process of the name
-     * is in trouble says nothing on the known one. That another is alive wins over a dead one at once; against
-     * a live one by its incarnation, which a restarted process raises above all that it hears of its name.
+     * <p>Within one process the higher incarnation wins, then the graver state. That another process of the
+     * name is in trouble says nothing on the known one. That another is alive wins over a dead one at once;
+     * against a live one by its incarnation, which a restarted process raises above all that it hears of its
+     * name.
      */
     boolean supersedes(MemberClaim known) {
         if (sameProcess(known)) {
--- a/coordination/src/main/java/burlarch/coordination/membership/MemberState.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/MemberState.java
@@ -1,6 +1,8 @@
 package burlarch.coordination.membership;
 
-/** What is believed of a member; the order is the one in which claims of one incarnation outweigh each other. */
+/**
+ * What is believed of a member; the order is the one in which claims of one incarnation outweigh each other.
+ */
 public enum MemberState {
     /** Answers, or was vouched for. */
     ALIVE,
--- a/coordination/src/main/java/burlarch/coordination/membership/Swim.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/Swim.java
@@ -6,11 +6,11 @@
 
 /**
  * Membership by SWIM: each member probes one other per period, directly and then through helpers; who doesn't
- * answer is suspected and may object before it is held dead; news rides on these messages. Time is passed in as
- * nanoseconds of a steady clock. Not for use by several threads at once.
+ * answer is suspected and may object before it is held dead; news rides on these messages. Time is passed in
+ * as nanoseconds of a steady clock. Not for use by several threads at once.
  *
- * <p>A member whose own process stood still gives up its probes without a verdict and lets all suspicions begin
- * anew. Tables that differ while there is no news are compared by a digest and exchanged.
+ * <p>A member whose own process stood still gives up its probes without a verdict and lets all suspicions
+ * begin anew. Tables that differ while there is no news are compared by a digest and exchanged.
  */
 public final class Swim {
     /** How many others a member tells of its coming or going without waiting for a probe. */
@@ -70,7 +70,10 @@
         return step(now);
     }
 
-    /** To be called at once to start, and then at each step's {@link SwimStep#wakeUpAt()}; earlier does no harm. */
+    /**
+     * To be called at once to start, and then at each step's {@link SwimStep#wakeUpAt()}; earlier does no
+     * harm.
+     */
     public SwimStep onTimer(long now) {
         noticePause(now);
         if (!left) {
--- a/coordination/src/main/java/burlarch/coordination/membership/SwimCodec.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/SwimCodec.java
@@ -8,8 +8,8 @@
 import java.util.zip.CRC32;
 
 /**
- * Datagrams of {@link SwimMessage}: version, kind, header, the kind's fields, claims up to the end, and a CRC-32
- * of all before it.
+ * Datagrams of {@link SwimMessage}: version, kind, header, the kind's fields, claims up to the end, and a
+ * CRC-32 of all before it.
  */
 public final class SwimCodec {
     private static final byte VERSION = 1;
@@ -26,7 +26,8 @@
     private static final int PORT_MASK = 0xFFFF;
     private static final int BYTE_MASK = 0xFF;
     /** Bytes of any message without its claims, at most. */
-    static final int FRAME_BYTES = 2 + 2 * Long.BYTES + Integer.BYTES + Long.BYTES + ADDRESS_BYTES + CHECK_BYTES;
+    static final int FRAME_BYTES =
+            2 + 2 * Long.BYTES + Integer.BYTES + Long.BYTES + ADDRESS_BYTES + CHECK_BYTES;
     /** Bytes of a claim without its texts. */
     private static final int CLAIM_BYTES = 1 + 2 * Long.BYTES + ADDRESS_BYTES + 3;
     private static final MemberState[] STATES = MemberState.values();
@@ -100,7 +101,8 @@
             case ACK:
                 return new SwimMessage.Ack(header, in.getInt(), in.getLong(), claims(in));
             case PING_REQUEST:
-                return new SwimMessage.PingRequest(header, in.getInt(), in.getLong(), address(in), claims(in));
+                return new SwimMessage.PingRequest(header, in.getInt(), in.getLong(), address(in),
+                        claims(in));
             case NACK:
                 return new SwimMessage.Nack(header, in.getInt(), claims(in));
             case SYNC_REQUEST:
--- a/coordination/src/main/java/burlarch/coordination/ownership/OwnershipLease.java
+++ b/coordination/src/main/java/burlarch/coordination/ownership/OwnershipLease.java
@@ -1,12 +1,13 @@
 package burlarch.coordination.ownership;
 
 /**
- * One process's part in a duty that only one may do at a time. The register names the holder and gives the fencing
- * token; this decides when the holder may act. Times are nanoseconds of a steady clock.
+ * One process's part in a duty that only one may do at a time. The register names the holder and gives the
+ * fencing token; this decides when the holder may act. Times are nanoseconds of a steady clock.
  *
  * <p>The holder acts only until half the lease after it <em>asked</em> for the view of the register that last
- * showed it as holder. Whoever takes the duty over does so after that view was formed, and waits a whole lease
- * from its own claim. So half a lease lies between the two, for orders under way and for clocks that run unevenly.
+ * showed it as holder. Whoever takes the duty over does so after that view was formed, and waits a whole
+ * lease from its own claim. So half a lease lies between the two, for orders under way and for clocks that
+ * run unevenly.
  */
 public final class OwnershipLease {
     private static final int PART_TO_ACT = 2;
