--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -6,7 +6,11 @@
 import burlarch.coordination.register.Member;
 import burlarch.coordination.registry.InstanceRegistry;
 import burlarch.coordination.registry.RegistrySettings;
+import burlarch.coordination.rollout.RolloutSettings;
+import burlarch.coordination.rollout.WeightsRollout;
 import burlarch.fleet.controller.api.ControlServer;
+import burlarch.fleet.engine.EngineClient;
+import burlarch.fleet.engine.EngineHttp;
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeSettings;
 import burlarch.fleet.node.Shutdown;
@@ -20,12 +24,20 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.tinylog.Logger;
 
 /** A controller: the operator's API, announcements of instances, a replica of the register, streams to routers. */
 public final class ControllerProgram {
     private static final long CALL_MILLIS = 930;
     private static final int IDENTITY_BYTES = 12;
+    private static final int ENGINE_THREADS = 4;
+    /** Key of the duty to bring engines to the named weights. */
+    private static final String WEIGHTS = "weights";
     /** Extra value of the store: acceptors of the first start, one a line. */
     private static final String FIRST_MEMBERS = "first-members";
 
@@ -70,12 +82,39 @@
         decided.addListener((state, ownProposal) -> peers.learn(
                 decided.members().stream().map(Member::address).toList()));
         new AcceptorKeeper(loop, decided, register, peers, own);
+        startWeightsDuty(settings, loop, decided, register, registry, publisher, peers, own, proposerName);
         messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
         peers.learn(seeds);
         peers.learn(firstMembers.stream().map(Member::address).toList());
         return new OperatorCalls(loop, register, publisher, instances, settings.faultTolerance().machines());
     }
 
+    private static void startWeightsDuty(NodeSettings settings, NodeLoop loop, DecidedState decided,
+            StateRegister register, InstanceRegistry registry, RouterPublisher publisher, ControllerPeers peers,
+            Member own, String processName) {
+        WeightsRollout rollout = new WeightsRollout(
+                RolloutSettings.of(TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos())));
+        WeightsDuty duty = new WeightsDuty(loop, registry, publisher, new EngineClient(engineHttp()), rollout);
+        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, peers, WEIGHTS, own.address(),
+                processName + "@" + own.address(), settings.bounds().leaseNanos(), duty::hasWork, duty);
+        duty.start(ownership);
+        decided.addListener((state, ownProposal) -> duty.onDecided(state));
+    }
+
+    private static HttpClient engineHttp() {
+        QueuedThreadPool threads = new QueuedThreadPool(ENGINE_THREADS, 1);
+        threads.setName("engines");
+        threads.setReservedThreads(0);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("engines-timer", true);
+        try {
+            threads.start();
+            scheduler.start();
+            return EngineHttp.start(threads, scheduler, new ArrayByteBufferPool());
+        } catch (Exception e) {
+            throw new IllegalStateException("no client for engines", e);
+        }
+    }
+
     private static void serve(NodeSettings settings, OperatorCalls calls) {
         ControlServer server = new ControlServer(settings.listen().control(), calls, CALL_MILLIS);
         try {
--- a/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
@@ -99,6 +99,11 @@
         throw new FleetException(unclear ? ErrorKind.UNCLEAR : ErrorKind.NO_QUORUM);
     }
 
+    /** The newest state that is known here without asking. */
+    SystemState known() {
+        return decided.state();
+    }
+
     /** The acceptors that have a vote, as far as is known here. */
     AcceptorSet acceptors() {
         return AcceptorSet.of(decided.members());
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/WeightsDuty.java
@@ -0,0 +1,129 @@
+package burlarch.fleet.controller;
+
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.InstanceRegistry;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.coordination.rollout.OrderResult;
+import burlarch.coordination.rollout.RolloutAction;
+import burlarch.coordination.rollout.WeightsRollout;
+import burlarch.fleet.controller.state.SystemState;
+import burlarch.fleet.engine.EngineAddress;
+import burlarch.fleet.engine.EngineClient;
+import burlarch.fleet.engine.Order;
+import burlarch.transport.NodeLoop;
+import java.util.List;
+import org.tinylog.Logger;
+
+/** Brings engines to the named weights while this controller owns the duty. Lives on the loop. */
+final class WeightsDuty implements OwnershipKeeper.Duty {
+    private static final long PERIOD_NANOS = 300_000_000;
+
+    private final NodeLoop loop;
+    private final InstanceRegistry registry;
+    private final RouterPublisher publisher;
+    private final EngineClient engines;
+    private final WeightsRollout rollout;
+    private OwnershipKeeper ownership;
+    private NodeLoop.Timer timer;
+
+    WeightsDuty(NodeLoop loop, InstanceRegistry registry, RouterPublisher publisher, EngineClient engines,
+            WeightsRollout rollout) {
+        this.loop = loop;
+        this.registry = registry;
+        this.publisher = publisher;
+        this.engines = engines;
+        this.rollout = rollout;
+    }
+
+    /** To be called once. */
+    void start(OwnershipKeeper keeper) {
+        ownership = keeper;
+        loop.schedule(PERIOD_NANOS, this::look);
+    }
+
+    /** Whether some engine has yet to get newer weights. */
+    boolean hasWork() {
+        return !rollout.complete();
+    }
+
+    /** A value was chosen. */
+    void onDecided(SystemState state) {
+        perform(rollout.onTargets(state.weights(), loop.nanoTime()));
+        if (hasWork()) {
+            ownership.wake();
+        }
+    }
+
+    private void look() {
+        loop.schedule(PERIOD_NANOS, this::look);
+        List<Instance> live = registry.snapshot().instances().stream()
+                .filter(instance -> instance.state() != InstanceState.GONE).toList();
+        perform(rollout.onInstances(live, loop.nanoTime()));
+    }
+
+    @Override
+    public void begin(long token) {
+        perform(rollout.onOwnership(token, loop.nanoTime()));
+    }
+
+    @Override
+    public void end() {
+        perform(rollout.onOwnershipLost(loop.nanoTime()));
+    }
+
+    private void perform(List<RolloutAction> actions) {
+        for (RolloutAction action : actions) {
+            if (action instanceof RolloutAction.SendOrder order) {
+                send(order);
+            } else if (action instanceof RolloutAction.MarkLoading mark) {
+                registry.setLoading(mark.instance(), mark.loading(), loop.nanoTime());
+            } else if (action instanceof RolloutAction.AskReport ask) {
+                report(ask.instance());
+            } else if (action instanceof RolloutAction.Timer next) {
+                plan(next);
+            } else if (action instanceof RolloutAction.OwnershipLost) {
+                loop.execute(ownership::onFenced);
+            }
+        }
+        publisher.sendInstances();
+    }
+
+    private void send(RolloutAction.SendOrder order) {
+        Instance instance = registry.find(order.instance());
+        if (instance == null || !ownership.mayAct()) {
+            loop.execute(() -> onResult(order, OrderResult.NO_ANSWER));
+            return;
+        }
+        Order sent = new Order(order.model(), order.version(), order.mode(), ownership.holderName(),
+                order.fenceToken(), order.ifRevision());
+        engines.order(address(instance), sent)
+                .thenAccept(result -> loop.execute(() -> onResult(order, result)));
+    }
+
+    private void onResult(RolloutAction.SendOrder order, OrderResult result) {
+        Logger.info("order of {} {} to {}: {}", order.model(), order.version(), order.instance(), result);
+        perform(rollout.onOrderResult(order.instance(), result, loop.nanoTime()));
+    }
+
+    private void report(String id) {
+        Instance instance = registry.find(id);
+        if (instance == null) {
+            loop.execute(() -> perform(rollout.onReport(id, null, loop.nanoTime())));
+            return;
+        }
+        engines.report(address(instance)).thenAccept(report -> loop.execute(
+                () -> perform(rollout.onReport(id, report.orElse(null), loop.nanoTime()))));
+    }
+
+    private static EngineAddress address(Instance instance) {
+        return new EngineAddress(instance.id(), instance.address());
+    }
+
+    private void plan(RolloutAction.Timer next) {
+        if (timer != null) {
+            timer.cancel();
+        }
+        timer = loop.schedule(Math.max(0, next.atNanos() - loop.nanoTime()),
+                () -> perform(rollout.onTimer(loop.nanoTime())));
+    }
+}
