--- a/routing/src/main/java/burlarch/routing/Admission.java
+++ b/routing/src/main/java/burlarch/routing/Admission.java
@@ -19,6 +19,8 @@
     private static final double WINDOW_PER_TENANT = 1.5;
     /** Outcomes that make a batch of evidence: one router sees few fetches a second. */
     private static final double BATCH = 16;
+    /** Routers get uneven shares of the clients. */
+    private static final double HEADROOM = 2;
     private static final double FLEET_FLOOR_PER_SECOND = 20;
     private static final long SHORTEST_RETRY_MILLIS = 50;
     private static final long LONGEST_RETRY_MILLIS = 2_000;
@@ -50,9 +52,16 @@
         capacity = new LearnedCapacity(shares, start, floor, BATCH, 1);
     }
 
-    /** Whether the fetch may go out. */
-    boolean offer(RouteRequest request, long nowNanos) {
-        capacity.keepAhead();
+    /**
+     * Whether the fetch may go out.
+     *
+     * @param bearable fetches a second that the engines can read for this router; until strain has been seen
+     *     the capacity keeps ahead of what is offered, up to a multiple of that
+     */
+    boolean offer(RouteRequest request, double bearable, long nowNanos) {
+        if (capacity.perSecond() < HEADROOM * bearable) {
+            capacity.keepAhead();
+        }
         return capacity.offer(indexOf(request.tenant()), window(rank(request)), nowNanos);
     }
 
--- a/routing/src/main/java/burlarch/routing/Candidates.java
+++ b/routing/src/main/java/burlarch/routing/Candidates.java
@@ -14,10 +14,20 @@
     /** The instances for this attempt; the list is reused by the next call. Empty where none is ready. */
     List<Engine> of(ServiceState service, RouteRequest request, AttemptHistory.Tried tried, long graceNanos,
             long nowNanos) {
-        usable.clear();
-        doubted.clear();
         long least = request.model() == null ? 0
                 : service.leastVersion(request.model(), graceNanos, nowNanos);
+        collect(service, request, tried, least, nowNanos);
+        if (usable.isEmpty() && least > 0) {
+            // The new weights are nowhere: what brings them is broken, and serving goes on.
+            collect(service, request, tried, 0, nowNanos);
+        }
+        return usable;
+    }
+
+    private void collect(ServiceState service, RouteRequest request, AttemptHistory.Tried tried, long least,
+            long nowNanos) {
+        usable.clear();
+        doubted.clear();
         for (int i = 0; i < service.engines.size(); i++) {
             Engine engine = service.engines.get(i);
             if (!engine.isReady() || tried.contains(engine.id) || !engine.serves(request.model())
@@ -32,7 +42,6 @@
         if (usable.isEmpty()) {
             readmit(1, true);
         }
-        return usable;
     }
 
     private static boolean isBehind(Engine engine, String model, long least) {
--- a/routing/src/main/java/burlarch/routing/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/CostModel.java
@@ -20,7 +20,7 @@
     static final long MOVE_LONGEST_NANOS = 1_000_000_000L;
     /** How many times its own length a move counts: moved memory is priced, waiting within the aim is not. */
     static final double MOVE_WEIGHT = 2.5;
-    /** How many times its length reading counts where others keep the tokens: that is priced higher still. */
+    /** The same for reading what others keep, which is priced higher still. */
     static final double REREAD_WEIGHT = 4;
     /** Shared tokens from which a store's copy is worth its move. */
     static final int SAVE_TOKENS = 1_000;
@@ -28,7 +28,7 @@
     static final double LATE_WEIGHT = 4;
     /** Counts each nanosecond of waiting for memory, on top: the engine puts running requests back. */
     static final double MEMORY_WEIGHT = 1;
-    /** Each request that runs makes every token of the others slower; this spreads what is alike otherwise. */
+    /** Each request that runs slows the others; this spreads what is alike otherwise. */
     static final long RUNNING_NANOS = 1_500_000L;
     /** Bytes between zones are priced, and a way through another zone can break. */
     static final long OTHER_ZONE_NANOS = 4_000_000L;
@@ -36,7 +36,7 @@
     static final double WARM_UP = 1.5;
     /** What is known of an engine whose events got lost counts for this part. */
     static final double UNCERTAIN = 0.8;
-    /** A request goes to the next engine by rendezvous where the first is slower than the best by this. */
+    /** The next engine by rendezvous is taken where the first is slower than the best by this. */
     static final long RENDEZVOUS_SLACK_NANOS = 200_000_000L;
     /** What one engine counts of its running requests' kept tokens: running requests share them. */
     static final double KEPT_SHARE = 0.5;
--- a/routing/src/main/java/burlarch/routing/EngineLoad.java
+++ b/routing/src/main/java/burlarch/routing/EngineLoad.java
@@ -6,6 +6,11 @@
     private static final double FADE_NANOS = 4e9;
     /** How long a told queue is taken to stand. */
     private static final long QUEUE_NANOS = 1_000_000_000L;
+    /** How long a wait that a first event showed counts for, fading evenly. */
+    private static final double WAIT_FADE_NANOS = 2e9;
+    private static final double WAIT_GAIN = 0.5;
+    /** Shorter waits are noise, or one prompt that was being read. */
+    private static final long QUEUE_WAIT_NANOS = 200_000_000L;
 
     private int inFlight;
     private double ownMemoryTokens;
@@ -16,6 +21,8 @@
     private int slots;
     private int waiting;
     private boolean wasTold;
+    private double waitNanos;
+    private long waitAtNanos;
 
     EngineLoad(int slots) {
         this.slots = Math.max(1, slots);
@@ -43,9 +50,28 @@
         return inFlight + others(nowNanos);
     }
 
-    /** Whether it told of requests that wait, lately. */
+    /** Whether requests wait there, as it told or first events showed lately. */
     boolean hasQueue(long nowNanos) {
-        return waiting > 0 && nowNanos - othersAtNanos < QUEUE_NANOS;
+        return waiting > 0 && nowNanos - othersAtNanos < QUEUE_NANOS
+                || waitNanos(nowNanos) > QUEUE_WAIT_NANOS;
+    }
+
+    /** How long requests lately waited for others, of whatever router. */
+    double waitNanos(long nowNanos) {
+        return waitNanos * Math.max(0, 1 - (nowNanos - waitAtNanos) / WAIT_FADE_NANOS);
+    }
+
+    /** A request has waited for others so long and does so still. */
+    void onWaitsStill(double nanos, long nowNanos) {
+        waitNanos = Math.max(waitNanos(nowNanos), nanos);
+        waitAtNanos = nowNanos;
+    }
+
+    /** A first event came so much later than the request alone would have needed. */
+    void onWaited(double nanos, long nowNanos) {
+        double before = waitNanos(nowNanos);
+        waitNanos = before + (Math.max(0, nanos) - before) * WAIT_GAIN;
+        waitAtNanos = nowNanos;
     }
 
     /** Memory of what runs, in tokens; requests of others count as ours do on average. */
--- a/routing/src/main/java/burlarch/routing/EngineSpeed.java
+++ b/routing/src/main/java/burlarch/routing/EngineSpeed.java
@@ -4,7 +4,7 @@
 final class EngineSpeed {
     private static final double LEAST_RATE = 5;
     private static final double MOST_RATE = 300;
-    /** Requests that are quick are surer to have met nobody else: an estimate improves faster than it falls. */
+    /** Quick requests are surer to have met nobody else: an estimate improves faster than it falls. */
     private static final double GAIN_FASTER = 0.2;
     private static final double GAIN_SLOWER = 0.04;
     private static final double FURTHEST = 2;
--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -24,7 +24,7 @@
     private static final long NO_INSTANCE_RETRY_MILLIS = 250;
     private static final long BUSY_RETRY_MILLIS = 150;
     /** Part of the bound for new weights after which engines with old ones get nothing more. */
-    private static final double VERSION_GRACE = 0.6;
+    private static final double VERSION_GRACE = 0.75;
     /** Fetches a second that one engine is taken to bear before any is known. */
     private static final double START_PER_ENGINE = 10;
 
@@ -144,6 +144,7 @@
 
     @Override
     public Placement place(RouteRequest request, int attempt, long nowNanos) {
+        flights.lookAtOverdue(nowNanos);
         ServiceState service = services.get(WeightedSplit.serviceOf(request.route(), request.id()));
         if (service == null) {
             return new Placement.Refuse(NO_INSTANCE_RETRY_MILLIS, "no such service");
@@ -184,11 +185,12 @@
     }
 
     private static boolean mayRepeat(Route route) {
-        return route.type() == RouteType.IDEMPOTENT || route.type() == RouteType.STREAMING && route.resumable();
+        return route.type() == RouteType.IDEMPOTENT
+                || route.type() == RouteType.STREAMING && route.resumable();
     }
 
-    private Placement placePlain(RouteRequest request, ServiceState service, List<Engine> usable, int attempt,
-            long nowNanos) {
+    private Placement placePlain(RouteRequest request, ServiceState service, List<Engine> usable,
+            int attempt, long nowNanos) {
         Choice choice = plain.choose(request, usable, nowNanos);
         if (attempt == 0 && hopeless(request, service, choice.predictedNanos, nowNanos)) {
             return busy(request, choice.predictedNanos, nowNanos);
@@ -200,8 +202,8 @@
         return send;
     }
 
-    private Placement placePrompt(RouteRequest request, ServiceState service, List<Engine> usable, int attempt,
-            long nowNanos) {
+    private Placement placePrompt(RouteRequest request, ServiceState service, List<Engine> usable,
+            int attempt, long nowNanos) {
         salts.begin(request);
         Choice choice = prompts.choose(request, service, usable, salts, nowNanos);
         if (attempt == 0 && hopeless(request, service, choice.predictedNanos, nowNanos)) {
@@ -230,15 +232,16 @@
 
     /** The throttle's verdict. Where places are free for sure a refusal would waste them. */
     private boolean admits(RouteRequest request, ServiceState service, long nowNanos) {
-        return service.admission.offer(request, nowNanos)
+        return service.admission.offer(request, service.bearableFetches() / liveRouters, nowNanos)
                 || service.hasSparePlaces(nowNanos);
     }
 
     /** Whether the first event is expected too late to be worth a place that others could use. */
-    private boolean hopeless(RouteRequest request, ServiceState service, double predictedNanos, long nowNanos) {
+    private boolean hopeless(RouteRequest request, ServiceState service, double predictedNanos,
+            long nowNanos) {
         double aims = settings.refuseBeyondAims() * request.route().targetLatencyMillis() * 1e6;
         boolean late = predictedNanos > request.deadlineNanos() - nowNanos
-                || aims > 0 && nowNanos + predictedNanos > request.receivedNanos() + aims;
+                || aims > 0 && predictedNanos > aims;
         return late && !service.hasSparePlaces(nowNanos);
     }
 
--- a/routing/src/main/java/burlarch/routing/Flight.java
+++ b/routing/src/main/java/burlarch/routing/Flight.java
@@ -18,7 +18,10 @@
     boolean trial;
     /** Whether nothing of ours was still to be read there when it went out. */
     boolean alone;
+    /** When silence begins to tell of a queue. */
+    long overdueNanos;
     long firstNanos;
+    boolean hasEnded;
     int oursAtFirst;
 
     Flight(Engine engine, ServiceState service, RouteRequest request) {
--- a/routing/src/main/java/burlarch/routing/FlightLog.java
+++ b/routing/src/main/java/burlarch/routing/FlightLog.java
@@ -1,6 +1,7 @@
 package burlarch.routing;
 
 import burlarch.routing.index.PromptIndex;
+import java.util.ArrayDeque;
 import java.util.IdentityHashMap;
 import java.util.Map;
 
@@ -8,6 +9,8 @@
 final class FlightLog {
     /** Placements that were made and not sent yet; callers send at once, so more than a few are lost ones. */
     private static final int MOST_PREPARED = 256;
+    /** Part of the aim, beyond what a request alone needs, after which its silence tells of a queue. */
+    private static final double PATIENCE = 0.4;
     /** Shorter moves are counted as this long: their lateness is mostly noise. */
     private static final double LEAST_MOVE_NANOS = 5e6;
 
@@ -16,6 +19,8 @@
     private final AttemptHistory history;
     private final Map<Placement.Send, Flight> prepared = new IdentityHashMap<>();
     private final Map<Placement.Send, Flight> out = new IdentityHashMap<>();
+    /** Flights whose first event is awaited, about in the order in which they get overdue. */
+    private final ArrayDeque<Flight> awaited = new ArrayDeque<>();
 
     FlightLog(PromptIndex index, Moves moves, AttemptHistory history) {
         this.index = index;
@@ -54,6 +59,32 @@
             flight.service.budget.onFurther(nowNanos);
         }
         out.put(send, flight);
+        flight.overdueNanos = nowNanos + (long) (flight.ownNanos()
+                + PATIENCE * request.route().targetLatencyMillis() * 1e6);
+        awaited.add(flight);
+    }
+
+    /** Learns from silence: an overloaded engine's first events come too late to learn from. */
+    void lookAtOverdue(long nowNanos) {
+        for (Flight next = awaited.peek(); next != null; next = awaited.peek()) {
+            if (!next.hasBegun() && !next.hasEnded) {
+                if (nowNanos - next.overdueNanos < 0) {
+                    return;
+                }
+                learnSilence(next, nowNanos);
+            }
+            awaited.poll();
+        }
+    }
+
+    private void learnSilence(Flight flight, long nowNanos) {
+        flight.engine.load.onWaitsStill(nowNanos - flight.sentNanos - flight.ownNanos(), nowNanos);
+        if (flight.fetch) {
+            flight.fetch = false;
+            flight.service.admission.onOutcome(flight.sentNanos, 1, false, nowNanos);
+        }
+        flight.overdueNanos = nowNanos + (nowNanos - flight.sentNanos) / 2;
+        awaited.add(flight);
     }
 
     void onFirstEvent(RouteRequest request, Placement.Send send, long nowNanos) {
@@ -66,9 +97,11 @@
         flight.oursAtFirst = engine.load.inFlight();
         engine.health.onAlive();
         double elapsed = nowNanos - flight.sentNanos;
+        double waited = Math.max(0, elapsed - flight.ownNanos());
+        engine.load.onWaited(waited, nowNanos);
         if (flight.fetch) {
             double aim = Math.max(1, request.route().targetLatencyMillis() * 1e6);
-            double strain = Math.max(0, elapsed - flight.ownNanos()) / aim;
+            double strain = waited / aim;
             flight.service.admission.onOutcome(flight.sentNanos, strain, true, nowNanos);
         }
         if (send.kvFetch() != null) {
@@ -97,6 +130,7 @@
         if (flight == null) {
             return;
         }
+        flight.hasEnded = true;
         Engine engine = flight.engine;
         if (told != null) {
             boolean begun = flight.hasBegun();
--- a/routing/src/main/java/burlarch/routing/Moves.java
+++ b/routing/src/main/java/burlarch/routing/Moves.java
@@ -57,13 +57,15 @@
     Source source(RouteRequest request, ServiceState service, Choice choice, Salts salts, long nowNanos) {
         List<PromptPart> parts = request.parts();
         long salt = salts.hash(choice.engine);
-        if (parts.isEmpty() || choice.engine.version(request.model()) == 0) {
+        if (PromptScheduler.promptTokens(request) - choice.kept < CostModel.MOVE_TOKENS
+                || parts.isEmpty() || choice.engine.version(request.model()) == 0) {
             return null;
         }
         Source best = null;
         double bestGain = 0;
         for (int i = 0; i < stores.size() + service.engines.size(); i++) {
-            Source source = i < stores.size() ? fromStore(stores.get(i), service, choice, salt, parts, nowNanos)
+            Source source = i < stores.size()
+                    ? fromStore(stores.get(i), service, choice, salt, parts, nowNanos)
                     : fromEngine(service.engines.get(i - stores.size()), service, choice, salt, request,
                             nowNanos);
             if (source == null || isSuspect(source.address(), nowNanos)) {
@@ -94,8 +96,8 @@
             return null;
         }
         int gained = index.confirmedPrefixTokens(engine.id, salt, request.parts(), nowNanos) - choice.kept;
-        return made(engine.instance().address(), engine.instance().zone(), gained, service.linkMbps(), service,
-                choice, nowNanos);
+        return made(engine.instance().address(), engine.instance().zone(), gained, service.linkMbps(),
+                service, choice, nowNanos);
     }
 
     private Source made(String address, String zone, int gained, double link, ServiceState service,
@@ -104,8 +106,8 @@
             return null;
         }
         double distance = settings.distance(zone, choice.engine.instance().zone());
-        return new Source(address, gained,
-                CostModel.moveNanos(gained, service.tokenBytes(), link, distance, service.slowness(nowNanos)));
+        return new Source(address, gained, CostModel.moveNanos(gained, service.tokenBytes(), link, distance,
+                service.slowness(nowNanos)));
     }
 
     /** Address of the store that is to get the shared parts: those that are read again and it lacks. */
--- a/routing/src/main/java/burlarch/routing/PlannerSettings.java
+++ b/routing/src/main/java/burlarch/routing/PlannerSettings.java
@@ -12,7 +12,7 @@
  * @param budgetSlack further sends of the whole fleet beyond that share
  * @param versionMillis within which all engines take requests on newly named weights
  * @param priorities the Priority header for each rank 0, 1, ...; ranks beyond take the last
- * @param refuseBeyondAims a first event predicted later than so many aims from now is refused, 0 for never
+ * @param refuseBeyondAims a request whose first event would take so many aims is refused, 0 for never
  */
 public record PlannerSettings(String zone, Map<String, String> regionOfZone, double retryBudget,
         double budgetWindowSeconds, double budgetSlack, long versionMillis, int[] priorities,
@@ -23,7 +23,7 @@
     public static PlannerSettings of(String zone, Map<String, String> regionOfZone, double retryBudget,
             double budgetWindowSeconds, double budgetSlack, long versionMillis) {
         return new PlannerSettings(zone, regionOfZone, retryBudget, budgetWindowSeconds, budgetSlack,
-                versionMillis, new int[] {0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, 2.5);
+                versionMillis, new int[] {0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, 1);
     }
 
     int priorityOf(int rank) {
--- a/routing/src/main/java/burlarch/routing/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/PromptScheduler.java
@@ -96,13 +96,14 @@
     private static double queueNanos(Engine engine, long nowNanos) {
         EngineLoad load = engine.load;
         double ahead = Math.max(0, load.requests(nowNanos) + 1 - load.slots());
-        return engine.speed.readNanos(load.backlogTokens(engine.speed, nowNanos))
+        double reading = engine.speed.readNanos(load.backlogTokens(engine.speed, nowNanos));
+        return Math.max(reading, load.waitNanos(nowNanos))
                 + engine.speed.serviceNanos() * ahead / load.slots();
     }
 
     /** Running requests free memory evenly over the time that one takes. */
-    private static double memoryWait(RouteRequest request, ServiceState service, Engine engine, int keptThere,
-            long nowNanos) {
+    private static double memoryWait(RouteRequest request, ServiceState service, Engine engine,
+            int keptThere, long nowNanos) {
         double used = engine.load.memoryTokens(service.meanMemoryTokens(), nowNanos);
         double over = used + memoryTokens(request, keptThere) - service.kvCapacity();
         if (service.kvCapacity() <= 0 || over <= 0 || used <= 0) {
--- a/routing/src/main/java/burlarch/routing/ServiceState.java
+++ b/routing/src/main/java/burlarch/routing/ServiceState.java
@@ -9,6 +9,7 @@
 /** One service: its instances and what its requests have shown on average. */
 final class ServiceState {
     private static final double MEAN_GAIN = 0.02;
+    private static final double FETCH_GAIN = 0.1;
     private static final double SLOWNESS_GAIN = 0.3;
     private static final double MOST_SLOWNESS = 30;
     /** How long a link that showed slow is taken for slow without new evidence. */
@@ -24,6 +25,7 @@
     private final Map<String, Seen> newest = new HashMap<>(2);
     private Service service;
     private double meanTokensToRead = 1_000;
+    private double meanFetchTokens = 2_000;
     private double meanMemoryTokens = 2_000;
     private double slowness = 1;
     private long slownessAtNanos;
@@ -64,7 +66,20 @@
         return meanMemoryTokens;
     }
 
+    /** Fetches a second that all ready engines together can read. */
+    double bearableFetches() {
+        double tokensPerSecond = 0;
+        for (int i = 0; i < engines.size(); i++) {
+            Engine engine = engines.get(i);
+            tokensPerSecond += engine.isReady() ? engine.speed.tokensPerNano() * 1e9 : 0;
+        }
+        return tokensPerSecond / Math.max(1, meanFetchTokens);
+    }
+
     void onSent(Flight flight) {
+        if (flight.fetch) {
+            meanFetchTokens += (flight.tokensToRead - meanFetchTokens) * FETCH_GAIN;
+        }
         meanTokensToRead += (flight.tokensToRead - meanTokensToRead) * MEAN_GAIN;
         meanMemoryTokens += (flight.memoryTokens - meanMemoryTokens) * MEAN_GAIN;
     }
@@ -89,7 +104,7 @@
         }
     }
 
-    /** The version below which an engine gets nothing any more: newer weights have had time to come to all. */
+    /** The version below which an engine gets nothing any more: newer ones have had time to come to all. */
     long leastVersion(String model, long graceNanos, long nowNanos) {
         Seen seen = newest.get(model);
         return seen == null || nowNanos - seen.sinceNanos() < graceNanos ? 0 : seen.version();
--- a/routing/src/main/java/burlarch/routing/index/PromptIndex.java
+++ b/routing/src/main/java/burlarch/routing/index/PromptIndex.java
@@ -111,7 +111,8 @@
         for (int i = 0; i < parts.size(); i++) {
             PromptPart part = parts.get(i);
             if (part.tokens() > 0) {
-                known.parts.put(CacheSalt.key(saltHash, part.id()), part.tokens(), group, ticks(nowNanos), true);
+                known.parts.put(CacheSalt.key(saltHash, part.id()), part.tokens(), group, ticks(nowNanos),
+                        true);
             }
         }
     }
