--- a/coordination/src/main/java/burlarch/coordination/ownership/ShardOwners.java
+++ b/coordination/src/main/java/burlarch/coordination/ownership/ShardOwners.java
@@ -57,6 +57,11 @@
         return owner;
     }
 
+    /** A number from 0 to 1 that all agree on for a member and a key. */
+    public static double unit(String member, String key) {
+        return (mix(hash(member) ^ hash(key)) >>> 11) * 0x1.0p-53;
+    }
+
     /** The keys that this member owns, in their given order. */
     public List<String> keysOf(String member) {
         List<String> owned = new ArrayList<>();
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -5,6 +5,8 @@
 import burlarch.configuration.IndexedRouteTable;
 import burlarch.configuration.InvalidConfiguration;
 import burlarch.coordination.registry.InstanceViews;
+import burlarch.fleet.engine.EngineClient;
+import burlarch.fleet.engine.EventFollower;
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeBounds;
 import burlarch.fleet.node.NodeSettings;
@@ -16,6 +18,7 @@
 import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeTransport;
 import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -36,7 +39,11 @@
                 settings.listen().readiness(), graceMillis), planner, lock, IndexedRouteTable::of);
         server.start();
         NodeLoop loop = new NodeLoop("node");
-        ControllerLinks links = new ControllerLinks(new InForce(planner, lock, server));
+        EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()),
+                new IndexFeed(planner, lock), server.delays(), System::nanoTime,
+                () -> ThreadLocalRandom.current().nextDouble());
+        ControllerLinks links = new ControllerLinks(
+                new InForce(planner, lock, server, new FollowedSources(settings.nodeName(), follower)));
         NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ROLE, NodeAddresses.own(settings),
                 settings.zone(), "", UUID.randomUUID().toString());
         NodeTransport transport = new NodeTransport(loop, hello,
@@ -58,10 +65,12 @@
         private final Planner planner;
         private final Object lock;
         private final RouterServer server;
+        private final FollowedSources sources;
         private boolean configured;
         private boolean instancesTold;
 
-        InForce(Planner planner, Object lock, RouterServer server) {
+        InForce(Planner planner, Object lock, RouterServer server, FollowedSources sources) {
+            this.sources = sources;
             this.planner = planner;
             this.lock = lock;
             this.server = server;
@@ -72,6 +81,7 @@
             try {
                 Configuration configuration = ConfigurationDocument.parseTrusted(json);
                 server.onConfiguration(configuration);
+                sources.onConfiguration(configuration);
                 configured = true;
                 becomeReady();
                 return true;
@@ -86,6 +96,7 @@
             synchronized (lock) {
                 planner.onInstances(views.instances(), System.nanoTime());
             }
+            sources.onInstances(views.instances());
             instancesTold = true;
             becomeReady();
         }
@@ -95,6 +106,7 @@
             synchronized (lock) {
                 planner.onRouters(live, System.nanoTime());
             }
+            sources.onRouters(live);
         }
 
         private void becomeReady() {
--- a/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
@@ -3,10 +3,14 @@
 import burlarch.configuration.Configuration;
 import burlarch.configuration.Configuration.Limits;
 import burlarch.configuration.RouteTable;
+import burlarch.fleet.engine.Delays;
+import burlarch.fleet.engine.EngineHttp;
 import burlarch.routing.Planner;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -98,6 +102,16 @@
         return connector;
     }
 
+    /** A client for calls to engines beside requests, on this server's threads and buffers; to be called once started. */
+    public HttpClient newEngineHttp() throws Exception {
+        return EngineHttp.start(server.getThreadPool(), scheduler, server.getByteBufferPool());
+    }
+
+    /** Runs tasks later on this server's timer. */
+    public Delays delays() {
+        return (task, delayMillis) -> scheduler.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     /** Port of the front, also where the settings left its choice to the system. */
     public int frontPort() {
         return front.getLocalPort();
