--- a/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
@@ -26,6 +26,7 @@
     private final List<RolloutAction> actions = new ArrayList<>();
     private boolean owner;
     private boolean tokenSeen;
+    private boolean fenced;
     private long fenceToken;
 
     public WeightsRollout(RolloutSettings settings) {
@@ -63,11 +64,16 @@
         }
     }
 
-    /** This process holds the ownership under that token; a token gives it once, and tokens rise. */
+    /**
+     * This process holds the ownership under that token. Tokens rise; the same one may be taken up again after a pause,
+     * unless an engine has shown that a higher one is out.
+     */
     public List<RolloutAction> onOwnership(long token, long now) {
-        if (!tokenSeen || token > fenceToken) {
+        boolean resumed = tokenSeen && token == fenceToken && !owner && !fenced;
+        if (!tokenSeen || token > fenceToken || resumed) {
             owner = true;
             tokenSeen = true;
+            fenced = false;
             fenceToken = token;
             for (TrackedEngine engine : engines.values()) {
                 engine.onOwnership(now);
@@ -87,6 +93,7 @@
     public List<RolloutAction> onOrderResult(String instance, OrderResult result, long now) {
         TrackedEngine engine = engines.get(instance);
         if (engine != null && engine.onResult(result, fenceToken, owner, now) && owner) {
+            fenced = true;
             actions.add(new OwnershipLost(fenceToken));
             loseOwnership(now);
         }
