--- a/coordination/src/main/java/burlarch/coordination/membership/Beliefs.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/Beliefs.java
@@ -5,6 +5,9 @@
 
 /** What this member holds true of itself and of others, and the news that it passes on. */
 final class Beliefs {
+    /** About what one datagram holds. */
+    private static final int CROWD = 16;
+
     private final SwimSettings settings;
     private final MemberRecord self;
     private final MemberTable table;
@@ -57,6 +60,20 @@
         take(row.claim.as(MemberState.DEAD), now, true);
     }
 
+    /** Holds those dead that did not object in time. */
+    void buryOverdue(long now) {
+        long suspicion = suspicion();
+        for (MemberRecord late = table.overdue(suspicion, now); late != null;
+                late = table.overdue(suspicion, now)) {
+            bury(late, now);
+        }
+    }
+
+    /** How long until the next one may be overdue, at most {@code atMost}. */
+    long untilOverdue(long now, long atMost) {
+        return table.untilOverdue(suspicion(), now, atMost);
+    }
+
     /** Declares the own end. */
     void leave() {
         self.claim = self.claim.as(MemberState.LEFT);
@@ -76,7 +93,7 @@
     }
 
     void restartSuspicions(long now) {
-        table.restartSuspicions(suspicion(), now);
+        table.restartSuspicions(now);
     }
 
     /** Drops the rows that ended long ago; returns where their processes were. */
@@ -98,6 +115,11 @@
         return gossip.isEmpty() && now - changedAt >= settings.syncPause();
     }
 
+    /** Whether more changed at once than news can carry in good time, as at a start of all or after a cut. */
+    boolean crowded() {
+        return gossip.size() > CROWD;
+    }
+
     SwimMessage.Header header() {
         return new SwimMessage.Header(self.info().incarnationOfProcess(), table.digest());
     }
@@ -135,7 +157,7 @@
 
     private void take(MemberClaim claim, long now, boolean passOn) {
         int before = changes.size();
-        MemberRecord changed = table.apply(claim, suspicion(), now, changes);
+        MemberRecord changed = table.apply(claim, now, changes);
         if (changed == null) {
             return;
         }
@@ -153,6 +175,7 @@
         gossip.add(row, settings.transmissions(table.liveCount() + 1));
     }
 
+    /** How long a suspected member may object now: longer as more members become known. */
     private long suspicion() {
         return settings.suspicion(table.liveCount() + 1) * health.multiplier();
     }
--- a/coordination/src/main/java/burlarch/coordination/membership/ContactList.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/ContactList.java
@@ -33,13 +33,16 @@
         lost.remove(address);
     }
 
+    int size() {
+        return seeds.size() + lost.size();
+    }
+
     /** The next address by turns, or null where there is none. */
     String next() {
-        int size = seeds.size() + lost.size();
-        if (size == 0) {
+        if (size() == 0) {
             return null;
         }
-        int index = Math.floorMod(nextSeed++, size);
+        int index = Math.floorMod(nextSeed++, size());
         return index < seeds.size() ? seeds.get(index) : lost.get(index - seeds.size());
     }
 }
--- a/coordination/src/main/java/burlarch/coordination/membership/GossipQueue.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/GossipQueue.java
@@ -4,10 +4,15 @@
 import java.util.Comparator;
 import java.util.List;
 
-/** News that still has to go out; what went out least often goes first. Bounded by the member table. */
+/**
+ * News that still has to go out. Troubles and objections to them go before mere arrivals, or a start of many
+ * would drown them; then what went out least often. Bounded by the member table.
+ */
 final class GossipQueue {
-    private static final Comparator<MemberRecord> FRESHEST_FIRST =
-            Comparator.comparingInt((MemberRecord row) -> row.transmissionsLeft).reversed();
+    private static final Comparator<MemberRecord> URGENT_THEN_FRESH = (one, other) -> {
+        int byUrgency = Boolean.compare(other.urgent(), one.urgent());
+        return byUrgency != 0 ? byUrgency : Integer.compare(other.transmissionsLeft, one.transmissionsLeft);
+    };
 
     private final List<MemberRecord> waiting = new ArrayList<>();
 
@@ -30,12 +35,16 @@
         return waiting.isEmpty();
     }
 
-    /** Adds the freshest claims that fit into {@code room} bytes, and counts them as sent. */
+    int size() {
+        return waiting.size();
+    }
+
+    /** Adds the most pressing claims that fit into {@code room} bytes, and counts them as sent. */
     void take(int room, List<MemberClaim> claims) {
         if (waiting.isEmpty()) {
             return;
         }
-        waiting.sort(FRESHEST_FIRST);
+        waiting.sort(URGENT_THEN_FRESH);
         int left = room;
         for (MemberRecord row : waiting) {
             int size = SwimCodec.sizeOf(row.claim);
--- a/coordination/src/main/java/burlarch/coordination/membership/MemberRecord.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/MemberRecord.java
@@ -3,8 +3,8 @@
 /** One row of {@link MemberTable}. */
 final class MemberRecord {
     MemberClaim claim;
-    /** While suspected: when it is held dead. */
-    long suspectUntil;
+    /** While suspected: since when. */
+    long suspectSince;
     /** When it died or left. */
     long endedAt;
     /** How often the claim still goes out. */
@@ -22,6 +22,11 @@
         return claim.state();
     }
 
+    /** Whether its news is on trouble or an objection, rather than on an arrival. */
+    boolean urgent() {
+        return claim.state() != MemberState.ALIVE || claim.incarnation() > 0;
+    }
+
     String name() {
         return claim.info().name();
     }
--- a/coordination/src/main/java/burlarch/coordination/membership/MemberTable.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/MemberTable.java
@@ -25,13 +25,12 @@
     /**
      * The one function for every change of state: takes the claim if it supersedes what is known.
      *
-     * @param suspicion how long a suspected member may object, in nanoseconds
      * @return the row if it changed, else null
      */
-    MemberRecord apply(MemberClaim claim, long suspicion, long now, List<MemberChange> changes) {
+    MemberRecord apply(MemberClaim claim, long now, List<MemberChange> changes) {
         MemberRecord known = byName.get(claim.info().name());
         if (known == null) {
-            return claim.state().live() ? add(claim, suspicion, now, changes) : null;
+            return claim.state().live() ? add(claim, now, changes) : null;
         }
         if (!claim.supersedes(known.claim)) {
             return null;
@@ -45,7 +44,7 @@
         }
         leaveLists(known);
         known.claim = claim;
-        enterLists(known, suspicion, now);
+        enterLists(known, now);
         if (before != claim.state()) {
             changes.add(new MemberChange(claim.info(), before, claim.state()));
         }
@@ -53,16 +52,16 @@
     }
 
     /** Gives every suspected member its whole time to object again. */
-    void restartSuspicions(long suspicion, long now) {
+    void restartSuspicions(long now) {
         for (MemberRecord suspect : suspects) {
-            suspect.suspectUntil = now + suspicion;
+            suspect.suspectSince = now;
         }
     }
 
-    /** A suspected member whose time to object has passed, or null. */
-    MemberRecord overdue(long now) {
+    /** A member that has been suspected for this long, or null. */
+    MemberRecord overdue(long suspicion, long now) {
         for (MemberRecord suspect : suspects) {
-            if (now - suspect.suspectUntil >= 0) {
+            if (now - suspect.suspectSince >= suspicion) {
                 return suspect;
             }
         }
@@ -70,10 +69,10 @@
     }
 
     /** How long until {@link #overdue} may have one, at most {@code atMost}. */
-    long untilOverdue(long now, long atMost) {
+    long untilOverdue(long suspicion, long now, long atMost) {
         long least = atMost;
         for (MemberRecord suspect : suspects) {
-            least = Math.min(least, suspect.suspectUntil - now);
+            least = Math.min(least, suspect.suspectSince + suspicion - now);
         }
         return least;
     }
@@ -124,7 +123,7 @@
         return refused;
     }
 
-    private MemberRecord add(MemberClaim claim, long suspicion, long now, List<MemberChange> changes) {
+    private MemberRecord add(MemberClaim claim, long now, List<MemberChange> changes) {
         if (byName.size() >= maxMembers) {
             if (ended.isEmpty()) {
                 refused++;
@@ -134,7 +133,7 @@
         }
         MemberRecord added = new MemberRecord(claim);
         byName.put(claim.info().name(), added);
-        enterLists(added, suspicion, now);
+        enterLists(added, now);
         changes.add(new MemberChange(claim.info(), null, claim.state()));
         return added;
     }
@@ -156,13 +155,13 @@
         }
     }
 
-    private void enterLists(MemberRecord row, long suspicion, long now) {
+    private void enterLists(MemberRecord row, long now) {
         byProcess.put(row.info().incarnationOfProcess(), row);
         if (row.state().live()) {
             digest += mix(row.info().incarnationOfProcess());
         }
         if (row.state() == MemberState.SUSPECT) {
-            row.suspectUntil = now + suspicion;
+            row.suspectSince = now;
             suspects.add(row);
         } else if (!row.state().live()) {
             row.endedAt = now;
--- a/coordination/src/main/java/burlarch/coordination/membership/Prober.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/Prober.java
@@ -7,6 +7,9 @@
     /** A probe ends before the next one is due, also when that one comes a little early. */
     private static final double PART_OF_PERIOD = 0.9;
 
+    /** A helper gives up sooner than the one who asked, so that its word comes in time. */
+    private static final double PART_FOR_HELPERS = 0.75;
+
     private final SwimSettings settings;
     private final Beliefs beliefs;
     private final Outbound outbound;
@@ -105,7 +108,8 @@
 
     void onPingRequest(String from, SwimMessage.PingRequest request, long now) {
         int own = nextSequence();
-        relays.add(new Relays.Relay(own, from, request.sequence(), now + settings.probeTimeout()));
+        long deadline = now + (long) (settings.probeTimeout() * PART_FOR_HELPERS);
+        relays.add(new Relays.Relay(own, from, request.sequence(), deadline));
         MemberRecord row = beliefs.table().ofProcess(request.target());
         outbound.ping(request.address(), own, request.target(), row == null ? null : claimToShow(row));
     }
@@ -137,6 +141,7 @@
         }
         if (silent.state() == MemberState.ALIVE && silent.info().incarnationOfProcess() == targetProcess) {
             beliefs.suspect(silent, now);
+            outbound.ping(silent.info().address(), nextSequence(), targetProcess, silent.claim);
         }
     }
 }
--- a/coordination/src/main/java/burlarch/coordination/membership/Swim.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/Swim.java
@@ -13,7 +13,7 @@
  * begin anew. Tables that differ while there is no news are compared by a digest and exchanged.
  */
 public final class Swim {
-    /** How many others a member tells of its coming or going without waiting for a probe. */
+    /** How many others a member tells at once that it comes, goes or objects. */
     private static final int ANNOUNCEMENTS = 8;
     /** Ended members and contacts that all live ones together try to reach in a period. */
     private static final int RECONNECTIONS = 4;
@@ -77,7 +77,7 @@
     public SwimStep onTimer(long now) {
         noticePause(now);
         if (!left) {
-            buryOverdue(now);
+            beliefs.buryOverdue(now);
             prober.onTimer(now);
             if (now - nextPeriod >= 0) {
                 period(now);
@@ -135,11 +135,11 @@
 
     private void take(String from, SwimMessage message, long now) {
         if (message instanceof SwimMessage.SyncRequest) {
-            sync.onClaims(from, message, prober.nextSequence(), now);
+            sync.onClaims(message, now);
             sync.onRequest(from);
         } else if (message instanceof SwimMessage.SyncPage) {
-            sync.onClaims(from, message, prober.nextSequence(), now);
-            if (!announced) {
+            sync.onClaims(message, now);
+            if (!announced && message.claims().size() > 1) {
                 announced = true;
                 announce();
             }
@@ -150,7 +150,8 @@
             takeProbe(from, message, now);
         }
         if (beliefs.takeObjected()) {
-            outbound.ping(from, prober.nextSequence(), message.header().process(), beliefs.own());
+            outbound.ownClaim(from);
+            announce();
         }
     }
 
@@ -164,11 +165,9 @@
         MemberRecord sender = beliefs.table().ofProcess(message.header().process());
         if (message instanceof SwimMessage.Ping ping) {
             MemberClaim ofSender = sender == null ? null : Prober.claimToShow(sender);
-            MemberClaim first = beliefs.takeObjected() ? beliefs.own() : ofSender;
-            outbound.ack(from, ping.sequence(), beliefs.own().info().incarnationOfProcess(), first);
+            outbound.ack(from, ping.sequence(), beliefs.own().info().incarnationOfProcess(), ofSender);
         } else if (message instanceof SwimMessage.Ack ack) {
             prober.onAck(ack, now);
-            sync.compare(from, ack.header(), now);
         } else if (message instanceof SwimMessage.PingRequest request) {
             prober.onPingRequest(from, request, now);
         } else if (message instanceof SwimMessage.Nack nack) {
@@ -176,13 +175,8 @@
         }
         if (sender == null) {
             sync.request(from, now);
-        }
-    }
-
-    private void buryOverdue(long now) {
-        for (MemberRecord late = beliefs.table().overdue(now); late != null;
-                late = beliefs.table().overdue(now)) {
-            beliefs.bury(late, now);
+        } else {
+            sync.compare(from, message.header(), now);
         }
     }
 
@@ -204,7 +198,12 @@
         if (!starting && random.nextDouble() * (beliefs.table().liveCount() + 1) >= RECONNECTIONS) {
             return;
         }
-        String address = contacts.next();
+        for (int i = starting ? contacts.size() : 1; i > 0; i--) {
+            seek(contacts.next());
+        }
+    }
+
+    private void seek(String address) {
         if (address == null || holdsLiveMember(address)) {
             return;
         }
@@ -261,7 +260,7 @@
         }
         long wait = left ? settings.forgetDead() : nextPeriod - now;
         if (!left) {
-            wait = prober.untilDue(now, beliefs.table().untilOverdue(now, wait));
+            wait = prober.untilDue(now, beliefs.untilOverdue(now, wait));
         }
         wakeUpAt = now + Math.max(0, wait);
         return new SwimStep(outbound.take(), changes, wakeUpAt);
--- a/coordination/src/main/java/burlarch/coordination/membership/TableSync.java
+++ b/coordination/src/main/java/burlarch/coordination/membership/TableSync.java
@@ -3,11 +3,13 @@
 /** Whole tables, asked for at the start and where another's differs though no news is under way. */
 final class TableSync {
     private static final int MAX_PAUSE_FACTOR = 16;
+    private static final int START_PERIODS = 8;
     private static final int MAX_ANSWERS_PER_PERIOD = 16;
 
     private final SwimSettings settings;
     private final Beliefs beliefs;
     private final Outbound outbound;
+    private final long startedAt;
     private long nextRequest;
     private long digestAtRequest;
     private int pauseFactor = 1;
@@ -17,6 +19,7 @@
         this.settings = settings;
         this.beliefs = beliefs;
         this.outbound = outbound;
+        startedAt = now;
         nextRequest = now;
     }
 
@@ -33,13 +36,13 @@
         boolean inVain = digestAtRequest == beliefs.table().digest();
         pauseFactor = inVain ? Math.min(MAX_PAUSE_FACTOR, pauseFactor * 2) : 1;
         digestAtRequest = beliefs.table().digest();
-        nextRequest = now + settings.syncPause() * pauseFactor;
+        nextRequest = now + (hurried(now) ? settings.probePeriod() : settings.syncPause() * pauseFactor);
         outbound.syncRequest(to);
     }
 
-    /** Asks for the other's table if it differs from the own one and nothing else explains that. */
+    /** Asks for the other's table if it differs from the own one and news won't soon mend that. */
     void compare(String from, SwimMessage.Header header, long now) {
-        if (header.digest() != beliefs.table().digest() && beliefs.quiet(now)) {
+        if (header.digest() != beliefs.table().digest() && (beliefs.quiet(now) || hurried(now))) {
             request(from, now);
         }
     }
@@ -53,7 +56,7 @@
     }
 
     /** Takes up a page or the claim that comes with a request; the first claim is the sender's own. */
-    void onClaims(String from, SwimMessage message, int sequence, long now) {
+    void onClaims(SwimMessage message, long now) {
         boolean first = true;
         for (MemberClaim claim : message.claims()) {
             if (first) {
@@ -63,19 +66,10 @@
                 beliefs.learnFromTable(claim, now);
             }
         }
-        if (!message.claims().isEmpty()) {
-            answerOutweighed(from, message, sequence);
-        }
     }
 
-    /** Tells a sender whose word on itself does not hold here what does, so that it can raise its own. */
-    private void answerOutweighed(String from, SwimMessage message, int sequence) {
-        MemberClaim said = message.claims().get(0);
-        MemberRecord known = beliefs.table().get(said.info().name());
-        boolean sendersOwn = said.info().incarnationOfProcess() == message.header().process();
-        if (sendersOwn && said.state().live() && known != null
-                && (!known.claim.sameProcess(said) || known.state() != MemberState.ALIVE)) {
-            outbound.ping(from, sequence, message.header().process(), known.claim);
-        }
+    /** When news alone would take long: at the own start, or where much changed at once. */
+    private boolean hurried(long now) {
+        return beliefs.crowded() || now - startedAt < START_PERIODS * settings.probePeriod();
     }
 }
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/SimulatedNode.java
@@ -0,0 +1,13 @@
+package burlarch.simulation;
+
+/** A process under the simulation. Times are nanoseconds of the machine's own steady clock. */
+public interface SimulatedNode {
+    /** Called once, before anything else. */
+    void start(long now);
+
+    /** @param from address of the sender */
+    void onMessage(String from, Object message, long now);
+
+    /** The time asked for by {@link NodeContext#wakeUpAt} has come. */
+    void onTimer(long now);
+}
