--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -13,6 +13,7 @@
 import burlarch.fleet.engine.EngineHttp;
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.node.SettingsWatch;
 import burlarch.fleet.node.Shutdown;
 import burlarch.storage.AcceptorStore;
 import burlarch.storage.FolderDisk;
@@ -85,6 +86,7 @@
         startWeightsDuty(settings, loop, decided, register, registry, publisher, peers, own, proposerName);
         messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
         peers.learn(seeds);
+        SettingsWatch.start(newer -> loop.execute(() -> peers.learn(NodeAddresses.seeds(newer))));
         peers.learn(firstMembers.stream().map(Member::address).toList());
         return new OperatorCalls(loop, register, publisher, instances, settings.faultTolerance().machines());
     }
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -53,7 +53,8 @@
         learn(seeds);
     }
 
-    private void learn(Collection<String> addresses) {
+    /** Connects to those that were not known. */
+    void learn(Collection<String> addresses) {
         for (String address : addresses) {
             if (controllers.size() < MOST_CONTROLLERS && controllers.add(address)) {
                 transport.connect(Addresses.parse(address));
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -10,6 +10,7 @@
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeBounds;
 import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.node.SettingsWatch;
 import burlarch.fleet.node.Shutdown;
 import burlarch.routing.FleetPlanner;
 import burlarch.routing.Planner;
@@ -49,6 +50,7 @@
         NodeTransport transport = new NodeTransport(loop, hello,
                 NodeAddresses.socket(NodeAddresses.own(settings)), links);
         loop.execute(() -> links.start(transport, NodeAddresses.seeds(settings)));
+        SettingsWatch.start(newer -> loop.execute(() -> links.learn(NodeAddresses.seeds(newer))));
         Shutdown.onSignal(() -> server.drain().join());
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().front());
     }
