--- a/fleet/src/main/java/burlarch/fleet/Main.java
+++ b/fleet/src/main/java/burlarch/fleet/Main.java
@@ -1,5 +1,6 @@
 package burlarch.fleet;
 
+import burlarch.fleet.node.HangUp;
 import burlarch.settings.SettingsException;
 import java.io.IOException;
 import java.io.InputStream;
@@ -50,6 +51,7 @@
     }
 
     public static void main(String[] arguments) {
+        HangUp.take();
         int code = execute(arguments, System.out, System.err);
         if (code != DONE) {
             System.exit(code);
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/node/HangUp.java
@@ -0,0 +1,39 @@
+package burlarch.fleet.node;
+
+import sun.misc.Signal;
+
+/**
+ * SIGHUP, which tells that the settings file has changed. Taken before anything else of a program starts: until then
+ * the signal would end the process. One that comes before there is a listener is kept for it.
+ */
+public final class HangUp {
+    private static Runnable listener;
+    private static boolean pending;
+
+    private HangUp() {
+    }
+
+    /** Takes the signal from now on. */
+    @SuppressWarnings("sunapi")
+    public static void take() {
+        Signal.handle(new Signal("HUP"), signal -> arrived());
+    }
+
+    /** A signal has come. */
+    static synchronized void arrived() {
+        if (listener == null) {
+            pending = true;
+        } else {
+            listener.run();
+        }
+    }
+
+    /** Who is told of it from now on. */
+    static synchronized void listen(Runnable told) {
+        listener = told;
+        if (pending) {
+            pending = false;
+            told.run();
+        }
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/node/SettingsWatch.java
+++ b/fleet/src/main/java/burlarch/fleet/node/SettingsWatch.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
-import sun.misc.Signal;
 
 /**
  * Reads the settings file again on SIGHUP, and where it changed without one. A file that is missing or wrong changes
@@ -32,17 +31,12 @@
     /** Watches the file that the environment names; {@code changed} is called on a thread of the watch's own. */
     public static void start(Consumer<NodeSettings> changed) {
         SettingsWatch watch = new SettingsWatch(Path.of(System.getenv(NodeSettings.FILE_VARIABLE)), changed);
-        watch.takeSignal();
+        HangUp.listen(watch::onSignal);
         Thread thread = new Thread(watch, "settings");
         thread.setDaemon(true);
         thread.start();
     }
 
-    @SuppressWarnings("sunapi")
-    private void takeSignal() {
-        Signal.handle(new Signal("HUP"), signal -> onSignal());
-    }
-
     /** The file is to be read, whether it changed or not. */
     void onSignal() {
         synchronized (wake) {
