--- a/fleet/src/main/java/burlarch/fleet/router/ClientAnswer.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ClientAnswer.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
@@ -20,6 +21,7 @@
     private final EndPoint endPoint;
     private DisconnectWatch watch;
     private boolean begun;
+    private boolean chunked;
     private boolean ended;
 
     ClientAnswer(Request request, Response response, Callback callback, RouterContext context) {
@@ -54,16 +56,22 @@
             }
         }
         closeIfLast(headers);
+        chunked = status != 204 && status != 304 && !headers.contains(HttpHeader.CONTENT_LENGTH);
+        if (chunked) {
+            // Said outright: a body may not end with the connection, as it would look complete when cut.
+            headers.put(HttpHeader.TRANSFER_ENCODING, "chunked");
+        }
     }
 
+    /** Passes bytes on at once; they are in use until {@code written} is told. */
     void write(ByteBuffer content, Callback written) {
-        response.write(false, content, written);
+        response.write(false, chunked ? Chunks.frame(content) : content, written);
     }
 
     /** Ends an answer that was passed on whole. */
     void finish() {
         if (end()) {
-            response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+            response.write(true, chunked ? Chunks.last() : BufferUtil.EMPTY_BUFFER, callback);
         }
     }
 
@@ -85,6 +93,7 @@
             headers.put(HttpHeader.CONNECTION, "close");
         }
         closeIfLast(headers);
+        headers.put(HttpHeader.CONTENT_LENGTH, 0);
         response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
 
@@ -92,7 +101,7 @@
     void abort(Throwable cause) {
         if (end()) {
             endPoint.close(cause);
-            callback.failed(cause);
+            callback.failed(new QuietException.Exception(cause));
         }
     }
 
--- a/fleet/src/main/java/burlarch/fleet/router/EngineCall.java
+++ b/fleet/src/main/java/burlarch/fleet/router/EngineCall.java
@@ -26,6 +26,16 @@
         return message;
     }
 
+    /** Whether each byte was handed to the socket. */
+    boolean isDrained() {
+        for (ByteBuffer part : message) {
+            if (part.hasRemaining()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     boolean headMethod() {
         return headMethod;
     }
--- a/fleet/src/main/java/burlarch/fleet/router/EngineConnection.java
+++ b/fleet/src/main/java/burlarch/fleet/router/EngineConnection.java
@@ -21,7 +21,8 @@
 final class EngineConnection extends AbstractConnection implements HttpParser.ResponseHandler {
     private static final int MOST_HEAD_BYTES = 16384;
 
-    private enum State { IDLE, BUSY, CLOSED }
+    /** FLUSHED: the answer was there before the word that the last byte of the request is out. */
+    private enum State { IDLE, BUSY, FLUSHED, CLOSED }
 
     private final EnginePool pool;
     private final String address;
@@ -222,22 +223,19 @@
     /** A whole answer has come: the connection goes back to the pool before the taker hears of it. */
     private void finish() {
         EngineCall ended;
-        boolean reusable;
+        State next;
         synchronized (this) {
             ended = call;
-            reusable = state == State.BUSY && written && !input.hasRemaining() && keepAlive.reusable()
-                    && !parser.isAtEOF() && getEndPoint().isOpen();
-            state = reusable ? State.IDLE : State.CLOSED;
-            call = null;
+            next = afterAnswer();
+            state = next;
+            call = next == State.FLUSHED ? ended : null;
         }
         releaseInput();
         complete = false;
         fields = null;
-        if (reusable) {
-            parser.reset();
-            getEndPoint().fillInterested(fillable);
-            pool.resting(this);
-        } else {
+        if (next == State.IDLE) {
+            rest();
+        } else if (next == State.CLOSED) {
             getEndPoint().close();
             pool.closed(this);
         }
@@ -246,6 +244,24 @@
         }
     }
 
+    private State afterAnswer() {
+        boolean reusable = state == State.BUSY && !input.hasRemaining() && keepAlive.reusable()
+                && !parser.isAtEOF() && getEndPoint().isOpen();
+        if (!reusable) {
+            return State.CLOSED;
+        }
+        if (written) {
+            return State.IDLE;
+        }
+        return call.isDrained() ? State.FLUSHED : State.CLOSED;
+    }
+
+    private void rest() {
+        parser.reset();
+        getEndPoint().fillInterested(fillable);
+        pool.resting(this);
+    }
+
     private void fail(Throwable cause) {
         EngineCall ended;
         synchronized (this) {
@@ -349,10 +365,17 @@
         @Override
         public void succeeded() {
             synchronized (EngineConnection.this) {
-                if (call == sent) {
-                    written = true;
+                if (call != sent) {
+                    return;
+                }
+                written = true;
+                if (state != State.FLUSHED) {
+                    return;
                 }
+                state = State.IDLE;
+                call = null;
             }
+            rest();
         }
 
         @Override
--- a/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
@@ -10,7 +10,6 @@
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -83,6 +82,7 @@
         readiness = connector(settings.readiness());
         handler.readinessAt(readiness);
         server.setHandler(handler);
+        server.setErrorHandler(new BareErrors());
         server.setStopAtShutdown(false);
         server.start();
         client.start();
@@ -90,7 +90,7 @@
 
     private ServerConnector connector(InetSocketAddress address) {
         ServerConnector connector =
-                new ServerConnector(server, null, null, null, 0, 1, new HttpConnectionFactory(http));
+                new ServerConnector(server, null, null, null, 0, 1, new FrontConnectionFactory(http));
         connector.setHost(address.getAddress().getHostAddress());
         connector.setPort(address.getPort());
         connector.setIdleTimeout(USUAL_IDLE_MILLIS);
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/router/RefusalsTest.java
@@ -0,0 +1,114 @@
+package burlarch.fleet.router;
+
+import static burlarch.fleet.router.FakeEngine.ascii;
+import static burlarch.fleet.router.FakeEngine.whole;
+import static burlarch.fleet.router.RouterFixture.request;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the router answers by itself, without a server. */
+class RefusalsTest {
+    private FakeEngine engine;
+    private RouterFixture fixture;
+    private RawClient client;
+
+    @BeforeEach
+    void start() throws Exception {
+        engine = new FakeEngine((received, socket, out) -> out.write(ascii(whole(received, "", "x"))));
+        fixture = new RouterFixture(engine);
+        client = fixture.client();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.close();
+        fixture.close();
+        engine.close();
+    }
+
+    @Test
+    void unknownRouteIsNotFound() throws Exception {
+        assertThat(client.ask(request("POST", "/other/a", "id", "", "x")).status()).isEqualTo(404);
+        assertThat(client.ask(request("POST", "/idem/a", "id", "", "x")).status()).isEqualTo(200);
+    }
+
+    @Test
+    void unknownKeyIsUnauthorized() throws Exception {
+        String text = request("POST", "/idem/a", "id", "", "x");
+        assertThat(client.ask(text.replace("key-a", "key-b")).status()).isEqualTo(401);
+        assertThat(client.ask(text.replace("X-Credential: key-a\r\n", "")).status()).isEqualTo(401);
+        assertThat(client.ask(text.replace("X-Credential", "X-Credential: key-a\r\nX-Credential")).status())
+                .isEqualTo(401);
+        assertThat(engine.requests()).isZero();
+    }
+
+    @Test
+    void requestWithoutAnIdIsBad() throws Exception {
+        String text = request("POST", "/idem/a", "id", "", "x");
+        assertThat(client.ask(text.replace("X-Request-Id: id\r\n", "")).status()).isEqualTo(400);
+        assertThat(engine.requests()).isZero();
+    }
+
+    @Test
+    void malformedTargetIsBadAndCloses() throws Exception {
+        RawClient.Answer answer = client.ask(request("GET", "/idem/%zz", "id", "", ""));
+        assertThat(answer.status()).isEqualTo(400);
+        assertThat(answer.header("Connection")).isEqualTo("close");
+        assertThat(engine.requests()).isZero();
+    }
+
+    @Test
+    void malformedHintsAreIgnored() throws Exception {
+        assertThat(client.ask(request("POST", "/idem/a", "id", "X-Token-Usage: 1;2\r\nX-Prefix-Hash: zz:,:\r\n",
+                "x")).status()).isEqualTo(200);
+        assertThat(fixture.planner.placed.poll().parts()).isEmpty();
+    }
+
+    @Test
+    void bodyAboveTheLimitIsTooLarge() throws Exception {
+        RawClient.Answer answer = client.ask("POST /idem/a HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: id\r\n"
+                + "X-Credential: key-a\r\nContent-Length: " + (RouterFixture.MOST_BODY_BYTES + 1) + "\r\n\r\n");
+        assertThat(answer.status()).isEqualTo(413);
+        assertThat(answer.header("Connection")).isEqualTo("close");
+    }
+
+    @Test
+    void chunkedBodyAboveTheLimitIsTooLarge() throws Exception {
+        client.send("POST /idem/a HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: id\r\nX-Credential: key-a\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n");
+        String chunk = "4000\r\n" + "y".repeat(0x4000) + "\r\n";
+        for (int i = 0; i <= RouterFixture.MOST_BODY_BYTES / 0x4000; i++) {
+            client.send(chunk);
+        }
+        assertThat(client.answer().status()).isEqualTo(413);
+        assertThat(engine.requests()).isZero();
+    }
+
+    @Test
+    void bodyAtTheLimitPasses() throws Exception {
+        String body = "y".repeat(RouterFixture.MOST_BODY_BYTES);
+        assertThat(client.ask(request("POST", "/once/a", "id", "", body)).status()).isEqualTo(200);
+        assertThat(engine.next().body()).hasSize(body.length());
+    }
+
+    @Test
+    void headAboveTheLimitIsRefusedAndCloses() throws Exception {
+        RawClient.Answer answer = client.ask(request("GET", "/idem/a", "id", "X-Big: " + "y".repeat(20_000) + "\r\n",
+                ""));
+        assertThat(answer.status()).isEqualTo(431);
+        assertThat(answer.header("Connection")).isEqualTo("close");
+    }
+
+    @Test
+    void readinessFollowsWhatTheRouterSays() throws Exception {
+        try (RawClient platform = new RawClient(fixture.router.readinessPort())) {
+            String question = "GET /burlarch/readyz HTTP/1.1\r\nHost: x\r\n\r\n";
+            assertThat(platform.ask(question).status()).isEqualTo(200);
+            fixture.router.setReady(false);
+            assertThat(platform.ask(question).status()).isEqualTo(503);
+        }
+    }
+}
