--- a/fleet/src/main/java/burlarch/fleet/router/Attempt.java
+++ b/fleet/src/main/java/burlarch/fleet/router/Attempt.java
@@ -163,7 +163,7 @@
         }
     }
 
-    /** The end of a body goes out once the answer is known to be whole, so that the client is last to know. */
+    /** The end of a body goes out once the answer is known to be whole: the client is the last to know. */
     private void holdTail(ByteBuffer content) {
         left = 0;
         tail = BufferUtil.copy(content);
--- a/fleet/src/main/java/burlarch/fleet/router/EngineConnection.java
+++ b/fleet/src/main/java/burlarch/fleet/router/EngineConnection.java
@@ -52,30 +52,32 @@
 
     /** Takes a call if nothing has come in since the last; else closes and returns false, nothing sent. */
     boolean send(EngineCall next) {
+        boolean news;
+        boolean begun;
         synchronized (this) {
             if (state != State.IDLE) {
                 return false;
             }
-            if (hasNews()) {
+            news = hasNews();
+            begun = !news && next.begin(this);
+            if (news) {
                 state = State.CLOSED;
-            } else if (next.begin(this)) {
+            } else if (begun) {
                 parser.begin(next.headMethod());
                 state = State.BUSY;
                 call = next;
                 written = false;
             }
         }
-        if (isClosed()) {
+        if (news) {
             getEndPoint().close();
-            return false;
-        }
-        if (call() != next) {
+        } else if (begun) {
+            getEndPoint().write(Callback.from(Invocable.InvocationType.NON_BLOCKING, () -> sent(next),
+                    cause -> notSent(next, cause)), next.message());
+        } else {
             pool.resting(this);
-            return true;
         }
-        getEndPoint().write(Callback.from(Invocable.InvocationType.NON_BLOCKING, () -> sent(next),
-                cause -> notSent(next, cause)), next.message());
-        return true;
+        return !news;
     }
 
     /** Whether the peer closed, or sent bytes that no request asked for. */
--- a/fleet/src/main/java/burlarch/fleet/router/Exchange.java
+++ b/fleet/src/main/java/burlarch/fleet/router/Exchange.java
@@ -1,8 +1,6 @@
 package burlarch.fleet.router;
 
 import burlarch.configuration.Configuration.Limits;
-import burlarch.configuration.Configuration.Route;
-import burlarch.configuration.Configuration.RouteType;
 import burlarch.configuration.RouteTable;
 import burlarch.routing.AttemptOutcome;
 import burlarch.routing.Placement;
@@ -10,8 +8,10 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.eclipse.jetty.util.thread.SerializedInvoker;
@@ -61,8 +61,16 @@
     /** Reads the request; the rest follows from that. */
     void start() {
         RouteTable table = context.table();
+        if (request.getConnectionMetaData().getHttpVersion() != HttpVersion.HTTP_1_1) {
+            end(505, null, true);
+            return;
+        }
+        if (HttpMethod.CONNECT.is(request.getMethod())) {
+            end(400, null, true);
+            return;
+        }
         if (table == null || context.refusing()) {
-            answer.own(503, SOON, context.refusing());
+            end(503, SOON, context.refusing());
             return;
         }
         Limits limits = table.configuration().limits();
@@ -83,7 +91,7 @@
 
     @Override
     public void onBroken(Throwable cause) {
-        inTurn(this::clientGone);
+        inTurn(cause instanceof TimeoutException ? () -> end(408, null, true) : this::clientGone);
     }
 
     @Override
@@ -110,18 +118,22 @@
         head = new RequestHead(request.getMethod(), request.getHttpURI().getPathQuery(),
                 request.getHeaders());
         answer.watch(() -> inTurn(this::clientGone));
-        long left = routed.deadlineNanos() - DEADLINE_MARGIN_NANOS - System.nanoTime();
-        deadline = context.scheduler().schedule(() -> inTurn(this::deadlinePassed), Math.max(0, left),
+        long left = timeLeft();
+        if (left <= 0) {
+            end(503, SOON, false);
+            return;
+        }
+        deadline = context.scheduler().schedule(() -> inTurn(this::deadlinePassed), left,
                 TimeUnit.NANOSECONDS);
         next();
     }
 
     private void next() {
         boolean takesUp = answer.begun();
-        RouteRequest request = takesUp ? takenUp(routed) : routed;
+        RouteRequest request = takesUp ? Repeats.takenUp(routed) : routed;
         Placement placement = context.gate().place(request, attempts);
         if (placement instanceof Placement.Refuse refuse) {
-            refuse(seconds(refuse.retryAfterMillis()));
+            refuse(Headers.seconds(refuse.retryAfterMillis()));
             return;
         }
         attempts++;
@@ -140,15 +152,9 @@
         attempt.begin(context.client(), message, HttpMethod.HEAD.is(this.request.getMethod()));
     }
 
-    private static RouteRequest takenUp(RouteRequest request) {
-        return new RouteRequest(request.id(), request.route(), request.tenant(), request.model(),
-                request.promptTokens(), request.maxOutputTokens(), request.parts(), true,
-                request.receivedNanos(), request.deadlineNanos());
-    }
-
     /** What holds parts of events back; null unless the answer is a stream of events that may be resumed. */
     StreamRelay relay(boolean isEventStream) {
-        if (relay == null && isEventStream && isResumable(routed.route())) {
+        if (relay == null && isEventStream && Repeats.isResumable(routed.route())) {
             relay = new StreamRelay();
         }
         return relay;
@@ -192,17 +198,12 @@
 
     private boolean mayGoAgain(AttemptOutcome outcome) {
         boolean harmless = answer.begun() ? relay != null && relay.canTakeUp()
-                : outcome.neverRan() || mayRepeat(routed.route());
-        return harmless && attempts < Math.max(1, routed.route().retries())
-                && routed.deadlineNanos() - DEADLINE_MARGIN_NANOS - System.nanoTime() > 0;
-    }
-
-    private static boolean mayRepeat(Route route) {
-        return route.type() == RouteType.IDEMPOTENT || isResumable(route);
+                : outcome.neverRan() || Repeats.mayRepeat(routed.route());
+        return harmless && attempts < Math.max(1, routed.route().retries()) && timeLeft() > 0;
     }
 
-    private static boolean isResumable(Route route) {
-        return route.type() == RouteType.STREAMING && route.resumable();
+    private long timeLeft() {
+        return routed.deadlineNanos() - DEADLINE_MARGIN_NANOS - System.nanoTime();
     }
 
     /**
@@ -238,6 +239,11 @@
     /** An event of it failed by a fault of our own: nothing is promised. */
     private void crashed(Throwable failure) {
         context.failures().note("FAULT", "exchange", failure);
+        Attempt left = attempt;
+        attempt = null;
+        if (left != null) {
+            left.cancel(AttemptOutcome.CANCELLED);
+        }
         finish();
         answer.abort(failure);
     }
@@ -281,10 +287,4 @@
         }
         return true;
     }
-
-    private static String seconds(long millis) {
-        long least = Math.max(1, millis);
-        String fraction = Long.toString(1000 + least % 1000).substring(1);
-        return least / 1000 + "." + fraction;
-    }
 }
--- a/fleet/src/main/java/burlarch/fleet/router/Headers.java
+++ b/fleet/src/main/java/burlarch/fleet/router/Headers.java
@@ -72,6 +72,12 @@
         return value;
     }
 
+    /** Retry-After: seconds with three digits of their fraction. */
+    static String seconds(long millis) {
+        long least = Math.max(1, millis);
+        return least / 1000 + "." + Long.toString(1000 + least % 1000).substring(1);
+    }
+
     /** A decimal number that is not negative, or the given one where the text is none. */
     static long number(String text, long otherwise) {
         if (text == null || text.isEmpty() || text.length() > 18) {
--- a/fleet/src/main/java/burlarch/fleet/router/Intake.java
+++ b/fleet/src/main/java/burlarch/fleet/router/Intake.java
@@ -52,6 +52,9 @@
 
     /** Whether a target goes on byte for byte: visible ASCII only. */
     private static boolean isPlain(String target) {
+        if (target == null) {
+            return false;
+        }
         for (int i = 0; i < target.length(); i++) {
             char c = target.charAt(i);
             if (c <= ' ' || c >= 0x7f) {
--- a/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -20,7 +21,10 @@
 public final class RouterServer implements AutoCloseable {
     private static final int MOST_THREADS = 8;
     private static final int LEAST_THREADS = 4;
+    private static final long STOP_MILLIS = 200;
     private static final int ACCEPT_QUEUE = 512;
+    /** Further clients wait in the queue of the listening socket. */
+    private static final int MOST_CLIENTS = 2500;
     private static final int POOL_FACTOR = 4096;
     private static final int POOL_LARGEST = 65536;
     private static final int POOL_BUCKET = 64;
@@ -58,6 +62,7 @@
         QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, LEAST_THREADS);
         threads.setName("router");
         threads.setReservedThreads(0);
+        threads.setStopTimeout(STOP_MILLIS);
         this.server = new Server(threads, scheduler, new ArrayByteBufferPool(0, POOL_FACTOR, POOL_LARGEST,
                 POOL_BUCKET, POOL_BYTES, POOL_BYTES));
         this.client = new EngineClient(threads, scheduler, settings.connectTimeoutMillis());
@@ -81,6 +86,7 @@
         front.setAcceptQueueSize(ACCEPT_QUEUE);
         readiness = connector(settings.readiness());
         handler.readinessAt(readiness);
+        server.addBean(new ConnectionLimit(MOST_CLIENTS, front));
         server.setHandler(handler);
         server.setErrorHandler(new BareErrors());
         server.setStopAtShutdown(false);
--- a/fleet/src/test/java/burlarch/fleet/router/FakeEngine.java
+++ b/fleet/src/test/java/burlarch/fleet/router/FakeEngine.java
@@ -100,6 +100,7 @@
         try {
             while (true) {
                 Socket socket = listener.accept();
+                socket.setTcpNoDelay(true);
                 sockets.add(socket);
                 int number = connections.incrementAndGet();
                 daemon(() -> serve(socket, number));
--- a/fleet/src/test/java/burlarch/fleet/router/RefusalsTest.java
+++ b/fleet/src/test/java/burlarch/fleet/router/RefusalsTest.java
@@ -60,6 +60,27 @@
         assertThat(engine.requests()).isZero();
     }
 
+    @Test
+    void requestOfAnOlderProtocolIsRefused() throws Exception {
+        RawClient.Answer answer = client.ask(request("GET", "/idem/a", "id", "", "").replace("1.1", "1.0"));
+        assertThat(answer.status()).isEqualTo(505);
+        assertThat(engine.requests()).isZero();
+    }
+
+    @Test
+    void tunnelIsRefused() throws Exception {
+        assertThat(client.ask(request("CONNECT", "one.example:80", "id", "", "")).status()).isEqualTo(400);
+        assertThat(engine.requests()).isZero();
+    }
+
+    @Test
+    void passedDeadlineIsNotOffered() throws Exception {
+        String text = request("POST", "/once/a", "id", "", "x").replace("Deadline: 8000", "Deadline: 1");
+        assertThat(client.ask(text).status()).isEqualTo(503);
+        assertThat(engine.requests()).isZero();
+        assertThat(fixture.planner.sent).isZero();
+    }
+
     @Test
     void malformedHintsAreIgnored() throws Exception {
         assertThat(client.ask(request("POST", "/idem/a", "id",
