--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
@@ -95,6 +95,11 @@
         return address.equals(ownAddress) || peer != null && peer.connection != null;
     }
 
+    /** Whether all controllers that are known can be reached. */
+    boolean allUp() {
+        return upAddresses().size() == peers.size();
+    }
+
     /** Since when that controller is up or down; 0 where it was never heard of. */
     long sinceNanos(String address) {
         Peer peer = peers.get(address);
@@ -130,5 +135,4 @@
         });
         return candidates;
     }
-
 }
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -20,6 +20,8 @@
     private static final long PERIOD_NANOS = 200_000_000;
     /** A controller that is out of reach for less may only be slow: its duties stay with it. */
     private static final long OWNER_LOST_NANOS = 1_000_000_000;
+    /** For so long after its start a controller may not yet be connected to others that live. */
+    private static final long GATHERING_NANOS = 1_500_000_000;
 
     /** Told when the duty begins and ends here. */
     interface Duty {
@@ -44,6 +46,7 @@
     private long ownerSinceNanos;
     private long ownerToken = -1;
     private final long leaseNanos;
+    private final long startedNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
     OwnershipKeeper(NodeLoop loop, StateRegister register, ControllerPeers peers, String key, String ownAddress,
@@ -58,6 +61,7 @@
         this.lease = new OwnershipLease(holderName, leaseNanos);
         this.hasWork = hasWork;
         this.duty = duty;
+        startedNanos = loop.nanoTime();
         loop.schedule(PERIOD_NANOS, this::check);
     }
 
@@ -126,7 +130,7 @@
     /** Whether the duty falls to this controller: the owner is lost, and rendezvous over those that live names it. */
     private boolean falls() {
         Lease known = register.known().owners().get(key);
-        if (known != null && ownerLives(known.holder())) {
+        if (known != null && ownerLives(known.holder()) || isGathering()) {
             return false;
         }
         List<String> live = new ArrayList<>(peers.upAddresses());
@@ -134,6 +138,10 @@
         return ownAddress.equals(new ShardOwners(live, List.of(key)).ownerOf(key));
     }
 
+    private boolean isGathering() {
+        return loop.nanoTime() - startedNanos < GATHERING_NANOS && !peers.allUp();
+    }
+
     private boolean ownerLives(String holder) {
         String address = holder.substring(holder.lastIndexOf('@') + 1);
         if (address.equals(ownAddress)) {
