--- a/storage/src/main/java/burlarch/storage/SegmentedLog.java
+++ b/storage/src/main/java/burlarch/storage/SegmentedLog.java
@@ -52,8 +52,13 @@
      */
     public static SegmentedLog open(Disk disk, long segmentBytes) throws IOException {
         SegmentedLog log = new SegmentedLog(disk, segmentBytes);
-        log.recover();
-        return log;
+        try {
+            log.recover();
+            return log;
+        } catch (IOException e) {
+            log.close();
+            throw e;
+        }
     }
 
     /** Whether there is no snapshot yet; then {@link #compact} has to come first. */
