--- a/coordination/src/main/java/burlarch/coordination/register/Decision.java
+++ b/coordination/src/main/java/burlarch/coordination/register/Decision.java
@@ -10,8 +10,9 @@
      * Leave the value as it is, and report it once it is certain to be chosen.
      *
      * @param sealing whether the value has to be written again at a new ballot in any case. Only then can no
-     *     earlier proposal that was left undecided come to light any more: needed before a change is refused
-     *     for good, not for a read or for the acknowledgement of a change that is in the value
+     *     earlier proposal that was left undecided come to light any more. Needed before a change is refused
+     *     that a later value might take; not for a read, nor for a change that is in the value, nor for one
+     *     that no value after this one can take, such as one whose base is past
      */
     record Keep(boolean sealing) implements Decision {
     }
--- a/coordination/src/main/java/burlarch/coordination/register/PromiseTally.java
+++ b/coordination/src/main/java/burlarch/coordination/register/PromiseTally.java
@@ -51,6 +51,11 @@
         return set.hasQuorum(acceptedBy.keySet());
     }
 
+    /** Whether a quorum of another set has promised as well. */
+    boolean cover(AcceptorSet other) {
+        return other.hasQuorum(acceptedBy.keySet());
+    }
+
     /** Whether the newest value is known to be chosen, as a quorum reported that very ballot. */
     boolean isConfirmed() {
         Set<String> holders = new HashSet<>();
--- a/coordination/src/main/java/burlarch/coordination/register/Proposal.java
+++ b/coordination/src/main/java/burlarch/coordination/register/Proposal.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -16,9 +18,11 @@
  *     acceptors has accepted anything newer than w. A proposal that meets a value with another set goes on
  *     with that one.
  * <li>A value v is chosen once a quorum of C(v) has accepted it at one ballot.
- * <li>A value names the set of the value that it is written on, with two exceptions: on a settled set M, the
- *     changing set (M, N); on a changing set (M, N), the settled N. For both, the value below has to be known
- *     as chosen; where it isn't, it is written again unchanged first.
+ * <li>A value names the set of the value that it is written on, with two exceptions: on a settled set M, a
+ *     changing set (M, N); on a changing set (M, N), the settled N. For the latter, the value below has to be
+ *     known as chosen; where it isn't, it is written again unchanged first.
+ * <li>A changing set is written only after promises from a quorum of it: one whose new acceptors don't answer
+ *     would hold up everything after it, as it can't be taken back. So it isn't sent out at all.
  * <li>Replies count by the identity of the disk, and only those of acceptors in the set. A disk that comes
  *     back empty has a new identity: what it forgot is never counted on.
  * <li>The first value names the believed set of its proposer, which must be the same for all proposers: the
@@ -31,17 +35,17 @@
  * or above. Suppose c is the lowest that breaks this, writing on a below b. Let d be the last chosen ballot
  * not above a (or none), and take for b the first chosen one above a. By the choice of c, all writes in (d,
  * b] go back to d through writes in that span, and none but d is chosen among those that they are written on,
- * so by rule 3 a set changes in that span only directly on top of d. Where d has a settled set M, all sets of
- * the span are M or (M, any); where it has (M, N), all are (M, N) or N. So all their quorums, those of a and
- * b included, hold a majority of one common list (M, or N), and an acceptor is in both the promises of c,
- * given by a quorum of C(a), and the quorum that chose b. It accepted b before its promise, and so reported b
- * or above, against rule 1, or was asked to after it, and refused. With the first value, the common list is
- * that of rule 5. Nothing in this hangs on how many acceptors change at once, on who is known to be dead, or
- * on how old a belief is; one change at a time keeps the quorums small.
+ * so by rule 3 a change is settled in that span only directly on top of d. Where d has a settled set M, all
+ * sets of the span are M or (M, any); where it has (M, N), all are (M, N), N or (N, any). So all their
+ * quorums, those of a and b included, hold a majority of one common list (M, or N), and an acceptor is in
+ * both the promises of c, given by a quorum of C(a), and the quorum that chose b. It accepted b before its
+ * promise, and so reported b or above, against rule 1, or was asked to after it, and refused. With the first
+ * value, the common list is that of rule 6. Nothing in this hangs on how many acceptors change at once, on
+ * who is known to be dead, or on how old a belief is; one change at a time keeps the quorums small.
  *
  * <p><b>What an end means.</b> A value that was accepted somewhere but not chosen may be found and completed
- * by any later ballot, until a higher one is chosen. So a change may be called refused only after
- * {@link Decision#seal}; this proposal seals by itself once it has sent its own write.
+ * by any later ballot, until a higher one is chosen. So a change that is refused may have to be sealed, see
+ * {@link Decision.Keep}; this proposal seals by itself once it has sent its own write.
  *
  * <p>Pure: time comes in nanoseconds, randomness from the outside. Not safe for use by several threads.
  */
@@ -56,7 +60,7 @@
     private final long deadline;
     private final Backoff backoff;
     private final List<Output> outputs = new ArrayList<>();
-    private final Set<String> contacted = new HashSet<>();
+    private final Map<String, Member> contacted = new LinkedHashMap<>();
     private final Set<String> acceptedBy = new HashSet<>();
 
     private Phase phase = Phase.IDLE;
@@ -157,14 +161,14 @@
 
     private void contact(AcceptorSet set) {
         for (Member member : set.all()) {
-            if (contacted.add(member.storage())) {
+            if (contacted.putIfAbsent(member.storage(), member) == null) {
                 outputs.add(new Output.Send(member, request));
             }
         }
     }
 
     private void resend(long now) {
-        for (Member member : (phase == Phase.PREPARING ? promises.set() : writtenSet()).all()) {
+        for (Member member : contacted.values()) {
             boolean answered = phase == Phase.PREPARING ? promises.answered(member.storage())
                     : acceptedBy.contains(member.storage());
             if (!answered) {
@@ -177,7 +181,7 @@
 
     private void onPromise(RegisterMessage.Promise promise, long now) {
         round = Math.max(round, promise.promised().round());
-        if (phase != Phase.PREPARING || promise.call() != call || !contacted.contains(promise.storage())) {
+        if (phase != Phase.PREPARING || !isExpected(promise.call(), promise.storage())) {
             return;
         }
         if (!promise.granted()) {
@@ -191,13 +195,16 @@
         }
     }
 
+    /** May come several times in a ballot: a new set has to promise too before it is written. */
     private void onQuorumPromised(long now) {
         believed = promises.set();
         WritePlan next = plan();
         if (next.step() == WritePlan.Step.REPORT) {
             finish(new ProposalResult.Chosen(promises.highest(), promises.value(), next.decision()));
-        } else {
+        } else if (promises.cover(AcceptorSet.of(next.value().members()))) {
             accept(next, now);
+        } else {
+            contact(AcceptorSet.of(next.value().members()));
         }
     }
 
@@ -216,7 +223,7 @@
 
     private void onAccepted(RegisterMessage.Accepted accepted, long now) {
         round = Math.max(round, accepted.promised().round());
-        if (phase != Phase.ACCEPTING || accepted.call() != call || !contacted.contains(accepted.storage())) {
+        if (phase != Phase.ACCEPTING || !isExpected(accepted.call(), accepted.storage())) {
             return;
         }
         if (!accepted.granted()) {
@@ -229,6 +236,10 @@
         }
     }
 
+    private boolean isExpected(long answeredCall, String storage) {
+        return answeredCall == call && contacted.containsKey(storage);
+    }
+
     private void onChosen(long now) {
         if (plan.step() == WritePlan.Step.FINISH) {
             finish(new ProposalResult.Chosen(ballot, plan.value(), plan.decision()));
--- a/coordination/src/main/java/burlarch/coordination/register/WritePlan.java
+++ b/coordination/src/main/java/burlarch/coordination/register/WritePlan.java
@@ -11,8 +11,8 @@
     enum Step {
         /** Nothing to write: the value read is the result. */
         REPORT,
-        /** Writes somebody else's value again, so that it is chosen; then phase one anew. */
-        CONFIRM,
+        /** Brings somebody else's change of the set one step on; then phase one anew. */
+        COMPLETE,
         /** Writes the value with both sets in force; then phase one anew, for the settled one. */
         CHANGE_SET,
         /** The last write: once chosen, the proposal is done. */
@@ -34,11 +34,11 @@
     static WritePlan on(RegisterValue current, boolean chosen, boolean mayReport, RegisterChange change) {
         AcceptorSet set = AcceptorSet.of(current.members());
         if (set.isChanging()) {
-            return new WritePlan(chosen ? settled(current) : current, null, Step.CONFIRM);
+            return new WritePlan(chosen ? settled(current) : current, null, Step.COMPLETE);
         }
         Decision decision = change.decide(current);
         if (decision instanceof Decision.Write write) {
-            return writing(current, set, chosen, write);
+            return writing(current, set, write);
         }
         boolean sealing = ((Decision.Keep) decision).sealing();
         return chosen && mayReport && !sealing
@@ -61,15 +61,11 @@
         return new WritePlan(settled(current), decision, Step.FINISH);
     }
 
-    private static WritePlan writing(RegisterValue current, AcceptorSet set, boolean chosen,
-            Decision.Write write) {
+    private static WritePlan writing(RegisterValue current, AcceptorSet set, Decision.Write write) {
         RegisterValue next = write.next();
         if (set.sameAcceptors(next.members())) {
             return new WritePlan(next, write, Step.FINISH);
         }
-        if (!chosen) {
-            return new WritePlan(current, null, Step.CONFIRM);
-        }
         RegisterValue both = new RegisterValue(AcceptorSet.change(current.members(), next.members()),
                 next.payload());
         return new WritePlan(both, write, Step.CHANGE_SET);
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/register/ChosenValues.java
@@ -0,0 +1,66 @@
+package burlarch.coordination.register;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Sees every disk and knows which values are chosen, whoever else may know it. */
+final class ChosenValues {
+    private final Map<Ballot, RegisterValue> written = new HashMap<>();
+    private final Map<Ballot, Set<String>> holders = new HashMap<>();
+    private final TreeMap<Ballot, RegisterValue> chosen = new TreeMap<>();
+
+    /** Notes what has become durable on a disk. */
+    void onDurable(String storage, AcceptorState state) {
+        if (state.value() == null) {
+            return;
+        }
+        Ballot ballot = state.accepted();
+        RegisterValue value = written.computeIfAbsent(ballot, unseen -> state.value());
+        assertThat(value).as("one value for a ballot").isSameAs(state.value());
+        Set<String> storages = holders.computeIfAbsent(ballot, unseen -> new HashSet<>());
+        storages.add(storage);
+        if (!chosen.containsKey(ballot) && AcceptorSet.of(value.members()).hasQuorum(storages)) {
+            onChosen(ballot, value);
+        }
+    }
+
+    /** The newest chosen value, or null. */
+    RegisterValue newest() {
+        return chosen.isEmpty() ? null : chosen.lastEntry().getValue();
+    }
+
+    /** Checks that no value holds a change that was said to be in none. */
+    void requireNone(Set<Integer> never) {
+        for (RegisterValue value : chosen.values()) {
+            assertThat(Collections.disjoint(History.of(value).changes(), never))
+                    .as("%s without %s", History.of(value), never).isTrue();
+        }
+    }
+
+    int count() {
+        return chosen.size();
+    }
+
+    private void onChosen(Ballot ballot, RegisterValue value) {
+        chosen.put(ballot, value);
+        Map.Entry<Ballot, RegisterValue> below = chosen.lowerEntry(ballot);
+        Map.Entry<Ballot, RegisterValue> above = chosen.higherEntry(ballot);
+        if (below != null) {
+            requireChain(below.getValue(), value);
+        }
+        if (above != null) {
+            requireChain(value, above.getValue());
+        }
+    }
+
+    private static void requireChain(RegisterValue earlier, RegisterValue later) {
+        assertThat(History.of(later).beginsWith(History.of(earlier)))
+                .as("%s then %s", History.of(earlier), History.of(later)).isTrue();
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/register/RegisterSchedule.java
@@ -0,0 +1,210 @@
+package burlarch.coordination.register;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * A short life of a register under a scheduler that means ill: each proposer reaches a few acceptors only,
+ * messages wait as long as it likes, and about half of the changes name another acceptor set, often a very
+ * different one.
+ */
+final class RegisterSchedule {
+    private static final int ACCEPTORS = 6;
+    private static final int PROPOSERS = 4;
+    private static final int STEPS = 600;
+    private static final int ON_ANY = -1;
+    private static final int ON_EVEN = -2;
+    private static final long NEVER = Long.MAX_VALUE / 4;
+
+    final ChosenValues chosen = new ChosenValues();
+    int ended;
+
+    private final Random random;
+    private final Map<String, Acceptor> acceptors = new LinkedHashMap<>();
+    private final List<Member> everyone = new ArrayList<>();
+    private final List<Member> first;
+    private final List<List<Member>> beliefs = new ArrayList<>();
+    private final List<Proposer> proposers = new ArrayList<>();
+    private final Set<Integer> never = new HashSet<>();
+    private History acknowledged = History.EMPTY;
+    private final List<Change> abandoned = new ArrayList<>();
+    private int changes;
+    private int proposals;
+
+    /** A message on its way, to an acceptor or back from it. */
+    private record Letter(Member acceptor, RegisterMessage message, boolean isReply) {
+    }
+
+    /** A change as its sender wants it: with a set or none, on top of a version, of even ones, or of any. */
+    private record Change(int number, List<Member> set, int base) implements RegisterChange {
+        @Override
+        public Decision decide(RegisterValue current) {
+            History history = History.of(current);
+            if (history.contains(number)) {
+                return Decision.keep();
+            }
+            if (base == ON_EVEN ? history.version() % 2 == 1 : base != ON_ANY && history.version() != base) {
+                return Decision.seal();
+            }
+            List<Member> members = set == null && current != null ? current.members() : set;
+            return new Decision.Write(new RegisterValue(members, history.with(number).payload()));
+        }
+    }
+
+    private static final class Proposer {
+        final Proposal proposal;
+        final Change change;
+        final History before;
+        final List<Letter> letters = new ArrayList<>();
+        final Set<String> reach = new HashSet<>();
+        long timer;
+        ProposalResult result;
+
+        Proposer(Proposal proposal, Change change, History before) {
+            this.proposal = proposal;
+            this.change = change;
+            this.before = before;
+        }
+    }
+
+    RegisterSchedule(long seed) {
+        random = new Random(seed);
+        for (int i = 0; i < ACCEPTORS; i++) {
+            Member member = new Member("s" + i, "m" + i);
+            everyone.add(member);
+            acceptors.put(member.storage(), new Acceptor(member.storage(), AcceptorState.EMPTY));
+        }
+        first = List.copyOf(everyone.subList(0, 2 + random.nextInt(3)));
+        beliefs.add(first);
+    }
+
+    void run() {
+        for (int i = 0; i < STEPS; i++) {
+            if (proposers.size() < PROPOSERS && random.nextInt(4) == 0) {
+                begin();
+            } else if (!proposers.isEmpty()) {
+                step(proposers.get(random.nextInt(proposers.size())));
+            }
+        }
+        chosen.requireNone(never);
+    }
+
+    private void begin() {
+        Change change = !abandoned.isEmpty() && random.nextBoolean()
+                ? abandoned.remove(random.nextInt(abandoned.size()))
+                : new Change(++changes, random.nextBoolean() ? anySet(1) : null, anyBase());
+        List<Member> believed = beliefs.get(random.nextInt(beliefs.size()));
+        Proposal proposal =
+                new Proposal("p" + ++proposals, random.nextInt(4), believed, change, NEVER, random);
+        Proposer proposer = new Proposer(proposal, change, acknowledged);
+        proposers.add(proposer);
+        chooseReach(proposer);
+        carryOut(proposer, proposal.start(0));
+    }
+
+    private int anyBase() {
+        int luck = random.nextInt(4);
+        return luck == 0 ? acknowledged.version() : luck == 1 ? ON_EVEN : ON_ANY;
+    }
+
+    private void judge(ProposalResult.Chosen result, int number, History before) {
+        ended++;
+        History history = History.of(result.value());
+        assertThat(history.beginsWith(before)).as("%s after %s", history, before).isTrue();
+        if (history.version() > acknowledged.version()) {
+            acknowledged = history;
+        }
+        if (result.value() != null) {
+            beliefs.add(result.value().members());
+            if (!history.contains(number)) {
+                never.add(number);
+            }
+        }
+    }
+
+    private void step(Proposer proposer) {
+        int luck = random.nextInt(400);
+        if (luck < 16) {
+            proposers.remove(proposer);
+            abandoned.add(proposer.change);
+        } else if (luck < 24) {
+            chooseReach(proposer);
+        } else {
+            deliver(proposer);
+        }
+        if (proposer.result != null) {
+            proposers.remove(proposer);
+            judge((ProposalResult.Chosen) proposer.result, proposer.change.number(), proposer.before);
+        }
+    }
+
+    private void deliver(Proposer proposer) {
+        List<Letter> open = proposer.letters.stream()
+                .filter(letter -> proposer.reach.contains(letter.acceptor().storage())).toList();
+        if (open.isEmpty()) {
+            wakeOrReach(proposer);
+            return;
+        }
+        Letter letter = open.get(random.nextInt(open.size()));
+        if (random.nextInt(10) > 0) {
+            proposer.letters.remove(letter);
+        }
+        if (letter.isReply()) {
+            carryOut(proposer, proposer.proposal.onMessage(letter.message(), 0));
+        } else {
+            proposer.letters.add(new Letter(letter.acceptor(), answer(letter), true));
+        }
+    }
+
+    private void wakeOrReach(Proposer proposer) {
+        if (random.nextBoolean()) {
+            chooseReach(proposer);
+        } else {
+            carryOut(proposer, proposer.proposal.onTimer(proposer.timer));
+        }
+    }
+
+    private RegisterMessage answer(Letter letter) {
+        Acceptor acceptor = acceptors.get(letter.acceptor().storage());
+        AcceptorStep step = letter.message() instanceof RegisterMessage.Prepare prepare
+                ? acceptor.onPrepare(prepare)
+                : acceptor.onAccept((RegisterMessage.Accept) letter.message());
+        acceptor.adopt(step.state());
+        chosen.onDurable(acceptor.storage(), step.state());
+        if (step.state().value() != null && random.nextInt(20) == 0) {
+            beliefs.add(step.state().value().members());
+        }
+        return step.reply();
+    }
+
+    private void carryOut(Proposer proposer, List<Output> outputs) {
+        for (Output output : outputs) {
+            if (output instanceof Output.Send send) {
+                proposer.letters.add(new Letter(send.member(), send.message(), false));
+            } else if (output instanceof Output.Timer timer && timer.at() < NEVER) {
+                proposer.timer = timer.at();
+            } else if (output instanceof Output.Done done) {
+                proposer.result = done.result();
+            }
+        }
+    }
+
+    private void chooseReach(Proposer proposer) {
+        proposer.reach.clear();
+        anySet(2).forEach(member -> proposer.reach.add(member.storage()));
+    }
+
+    private List<Member> anySet(int fewest) {
+        List<Member> shuffled = new ArrayList<>(everyone);
+        Collections.shuffle(shuffled, random);
+        return List.copyOf(shuffled.subList(0, fewest + random.nextInt(4)));
+    }
+}
