--- a/fleet/src/main/java/burlarch/fleet/controller/api/ControlServer.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/api/ControlServer.java
@@ -1,12 +1,15 @@
 package burlarch.fleet.controller.api;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.IO;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** The HTTP server on the {@code control} address, for the operator and for what announces itself. */
@@ -67,10 +70,15 @@
         return connector.getLocalPort();
     }
 
-    /** Takes no new connections any more; calls on open ones are served and end their connection. */
+    /** Soon takes no new connections any more; calls on open ones are served and end their connection. */
     public void stopAccepting() {
         handler.drain();
-        connector.close();
+        // The connector's own close leaves the socket open where there are no acceptor threads.
+        IO.close((ServerSocketChannel) connector.getTransport());
+        // And it listens on until the selector looks at what it was told to let go.
+        for (ManagedSelector selector : connector.getContainedBeans(ManagedSelector.class)) {
+            selector.submit(woken -> { });
+        }
     }
 
     /**
--- a/fleet/src/main/java/burlarch/fleet/controller/state/StateChanges.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/state/StateChanges.java
@@ -3,6 +3,7 @@
 import burlarch.configuration.ConfigurationDocument;
 import burlarch.configuration.ConfigurationPatch;
 import burlarch.configuration.InvalidConfiguration;
+import burlarch.fleet.controller.state.ChangeResult.Answer;
 import burlarch.fleet.controller.state.ChangeResult.Changed;
 import burlarch.fleet.controller.state.ChangeResult.Unchanged;
 
@@ -44,7 +45,7 @@
             ConfigurationDocument base = ConfigurationDocument.read(state.configuration());
             return new Changed(state.withConfiguration(change, patch.applyTo(base).json()));
         } catch (InvalidConfiguration invalid) {
-            return Unchanged.invalid("", invalid.getMessage());
+            return new Unchanged(Answer.INVALID, invalid.problems());
         }
     }
 
--- a/fleet/src/main/java/burlarch/fleet/error/FleetException.java
+++ b/fleet/src/main/java/burlarch/fleet/error/FleetException.java
@@ -1,8 +1,9 @@
 package burlarch.fleet.error;
 
+import burlarch.configuration.Problem;
 import java.util.List;
 
-/** A call that failed in a way that its caller is to be told. Carries no stack trace, being no fault of the code. */
+/** A call that failed in a way that its caller is told. No fault of the code, so it has no stack trace. */
 public final class FleetException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/controller/api/ControlServerTest.java
@@ -0,0 +1,361 @@
+package burlarch.fleet.controller.api;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The interface over loopback, before a service that does what each test wants. */
+@Timeout(30)
+class ControlServerTest {
+    private static final String HEARTBEAT = """
+            {"service":"blue","address":"10.0.0.9:8080","zone":"north","config_version":"v1","capacity":12,
+            "state":"ready","warmup_left_ms":40,"stage":"hybrid","later":{"field":[1]},
+            "models":[{"name":"m","config_version":3,"adapters":[]}],"sequence":4}""";
+    private static final long LONG_MILLIS = 20_000;
+    private static final long SHORT_MILLIS = 50;
+
+    private final FakeControlService service = new FakeControlService();
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private ControlServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        startWith(LONG_MILLIS);
+    }
+
+    private void startWith(long callMillis) throws Exception {
+        if (server != null) {
+            server.stop();
+        }
+        server = new ControlServer(new InetSocketAddress("127.0.0.1", 0), service, callMillis);
+        server.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.stop();
+    }
+
+    private HttpRequest.Builder request(String method, String path, String body) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.port() + path))
+                .method(method, body == null ? BodyPublishers.noBody() : BodyPublishers.ofString(body));
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+        return client.send(request.build(), BodyHandlers.ofString());
+    }
+
+    private HttpResponse<String> send(String method, String path, String body)
+            throws IOException, InterruptedException {
+        return send(request(method, path, body));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "PUT|/burlarch/config|{}|200|put 2 on 0",
+        "PATCH|/burlarch/config|{ }|200|patch 3 on 0",
+        "GET|/burlarch/config||200|read",
+        "POST|/burlarch/version-put|{\"model\":\"m\",\"config_version\":2}|200|weights m 2",
+        "DELETE|/burlarch/instances/i-1||200|leave i-1",
+        "POST|/burlarch/config|{}|405|",
+        "GET|/burlarch/version-put||405|",
+        "GET|/burlarch/instances/i-1||405|",
+        "GET|/burlarch/other||404|",
+        "GET|/||404|",
+        "DELETE|/burlarch/instances/||404|",
+        "DELETE|/burlarch/instances/a/b||404|",
+        "POST|/burlarch/version-put|{\"model\":\"m\"}|400|",
+        "POST|/burlarch/version-put|{\"model\":\"m\",\"config_version\":1.5}|400|",
+        "POST|/burlarch/version-put|{\"config_version\":1}|400|",
+        "POST|/burlarch/version-put|[]|400|",
+        "POST|/burlarch/version-put|{|400|",
+        "POST|/burlarch/version-put||400|",
+    })
+    void callsReachTheService(String method, String path, String body, int status, String call)
+            throws Exception {
+        HttpResponse<String> answer = send(method, path, body);
+        assertThat(answer.statusCode()).isEqualTo(status);
+        assertThat(answer.headers().firstValue("Content-Type")).hasValue("application/json");
+        assertThat(service.calls).isEqualTo(call == null ? List.of() : List.of(call));
+    }
+
+    @ParameterizedTest
+    @EnumSource(ErrorKind.class)
+    void failuresBecomeTheirStatus(ErrorKind kind) throws Exception {
+        service.next = CompletableFuture.failedFuture(
+                new FleetException(kind, "routes[0].name", "must be there"));
+        HttpResponse<String> answer = send("PUT", "/burlarch/config", "{}");
+        assertThat(answer.statusCode()).isEqualTo(kind.status());
+        assertThat(answer.headers().firstValue("Retry-After").isPresent()).isEqualTo(kind.status() == 503);
+        JsonNode told = new ObjectMapper().readTree(answer.body());
+        assertThat(told.path("error").asText()).isEqualTo(kind.name());
+        assertThat(told.at("/problems/0/field").asText()).isEqualTo("routes[0].name");
+        assertThat(told.at("/problems/0/reason").asText()).isEqualTo("must be there");
+    }
+
+    @Test
+    void anUnknownFailureIsWithoutClearEnd() throws Exception {
+        service.next = CompletableFuture.failedFuture(new IllegalStateException("for this test"));
+        assertThat(send("PUT", "/burlarch/config", "{}").statusCode()).isEqualTo(503);
+    }
+
+    @Test
+    void theConfigurationComesBackWhole() throws Exception {
+        byte[] large = "x".repeat(3_000_000).getBytes(StandardCharsets.UTF_8);
+        service.document = CompletableFuture.completedFuture(large);
+        assertThat(send("GET", "/burlarch/config", null).body()).hasSize(large.length);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5, 200, put 2 on 5", "'\"5\"', 200, put 2 on 5", "five, 400, ", "'*', 400, "})
+    void ifMatchNamesTheVersion(String ifMatch, int status, String call) throws Exception {
+        HttpResponse<String> answer =
+                send(request("PUT", "/burlarch/config", "{}").header("If-Match", ifMatch));
+        assertThat(answer.statusCode()).isEqualTo(status);
+        assertThat(service.calls).isEqualTo(call == null ? List.of() : List.of(call));
+    }
+
+    @Test
+    void anAnnouncementIsRead() throws Exception {
+        HttpResponse<String> answer = send("PUT", "/burlarch/instances/i-1", HEARTBEAT);
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo("{}");
+        assertThat(service.announced).containsExactly(new Instance("i-1", "blue", "10.0.0.9:8080", "north",
+                "v1", 12, InstanceState.READY, 40, List.of(new Instance.ServedModel("m", 3)), 4));
+    }
+
+    @Test
+    void anAnnouncementMayLackWhatIsOptional() throws Exception {
+        String least = """
+                {"service":"blue","address":"10.0.0.9:80","state":"draining","sequence":1}""";
+        assertThat(send("PUT", "/burlarch/instances/i-1", least).statusCode()).isEqualTo(200);
+        assertThat(service.announced).containsExactly(new Instance("i-1", "blue", "10.0.0.9:80", "", "", 0,
+                InstanceState.DRAINING, 0, List.of(), 1));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "\"ready\"|\"gone\"", "\"ready\"|\"READY\"", "\"ready\"|3", "\"state\"|\"other\"",
+        "\"sequence\":4|\"sequence\":-1", "\"sequence\":4|\"sequence\":9223372036854775807",
+        "\"sequence\":4|\"sequence\":\"x\"", "10.0.0.9:8080|10.0.0.9", "\"service\"|\"other\"",
+        "\"name\":\"m\"|\"other\":1", "{\"service\"|\"service\"",
+    })
+    void anAnnouncementThatIsWrongIsRefused(String part, String other) throws Exception {
+        HttpResponse<String> answer = send("PUT", "/burlarch/instances/i-1", HEARTBEAT.replace(part, other));
+        assertThat(answer.statusCode()).isEqualTo(400);
+        assertThat(service.calls).isEmpty();
+    }
+
+    @Test
+    void aCallThatTakesTooLongIsWithoutClearEnd() throws Exception {
+        startWith(SHORT_MILLIS);
+        service.next = new CompletableFuture<>();
+        service.document = new CompletableFuture<>();
+        for (String[] call : new String[][] {{"PUT", "/burlarch/config", "{}"},
+            {"GET", "/burlarch/config", null}, {"DELETE", "/burlarch/instances/i-1", null},
+            {"PUT", "/burlarch/instances/i-1", HEARTBEAT}}) {
+            HttpResponse<String> answer = send(call[0], call[1], call[2]);
+            assertThat(answer.statusCode()).isEqualTo(503);
+            assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+        }
+        assertThatThrownBy(() -> service.next.get(5, TimeUnit.SECONDS))
+                .isInstanceOf(CancellationException.class);
+    }
+
+    @Test
+    void aResultThatComesLaterIsAnswered() throws Exception {
+        service.next = new CompletableFuture<>();
+        CompletableFuture<HttpResponse<String>> answer = client.sendAsync(
+                request("PUT", "/burlarch/config", "{}").build(), BodyHandlers.ofString());
+        until(() -> !service.calls.isEmpty());
+        assertThat(answer).isNotDone();
+        service.next.complete(null);
+        assertThat(answer.get(5, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void aBodyUpToTheBoundIsTaken() throws Exception {
+        String longest = " ".repeat(BodyBudget.LONGEST_CONFIGURATION);
+        assertThat(send("PUT", "/burlarch/config", longest).statusCode()).isEqualTo(200);
+        assertThat(service.calls).containsExactly("put " + longest.length() + " on 0");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/burlarch/config, 8388609", "/burlarch/instances/i-1, 65537"})
+    void aBodyBeyondTheBoundIsNot(String path, int length) throws Exception {
+        String head = "PUT " + path + " HTTP/1.1\r\nHost: h\r\n";
+        try (Peer declared = new Peer()) {
+            declared.send(head + "Content-Length: " + length + "\r\n\r\n");
+            assertThat(declared.status()).isEqualTo(413);
+        }
+        try (Peer chunked = new Peer()) {
+            chunked.send(head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length) + "\r\n");
+            chunked.send(" ".repeat(length) + "\r\n");
+            assertThat(chunked.status()).isEqualTo(413);
+        }
+        assertThat(service.calls).isEmpty();
+    }
+
+    @Test
+    void aChunkedBodyIsTaken() throws Exception {
+        try (Peer chunked = new Peer()) {
+            chunked.send("PUT /burlarch/config HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+            chunked.send("1\r\n{\r\n");
+            chunked.send("1\r\n}\r\n0\r\n\r\n");
+            assertThat(chunked.status()).isEqualTo(200);
+        }
+        assertThat(service.calls).containsExactly("put 2 on 0");
+    }
+
+    @Test
+    void allBodiesTogetherAreBounded() throws Exception {
+        CompletableFuture<Void> later = new CompletableFuture<>();
+        service.next = later;
+        String half = " ".repeat(BodyBudget.LONGEST_CONFIGURATION);
+        List<CompletableFuture<HttpResponse<String>>> held = List.of(
+                client.sendAsync(request("PUT", "/burlarch/config", half).build(), BodyHandlers.ofString()),
+                client.sendAsync(request("PUT", "/burlarch/config", half).build(), BodyHandlers.ofString()));
+        until(() -> service.calls.size() == held.size());
+        assertThat(send("PUT", "/burlarch/config", "{}").statusCode()).isEqualTo(503);
+        later.complete(null);
+        for (CompletableFuture<HttpResponse<String>> one : held) {
+            assertThat(one.get(5, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+        }
+        assertThat(send("PUT", "/burlarch/config", "{}").statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void aBodyThatBreaksOffCallsNothing() throws Exception {
+        try (Peer broken = new Peer()) {
+            broken.send("PUT /burlarch/config HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{");
+        }
+        assertThat(send("PUT", "/burlarch/instances/i-1", HEARTBEAT).statusCode()).isEqualTo(200);
+        assertThat(service.calls).containsExactly("announce i-1");
+    }
+
+    @Test
+    void aConnectionServesCallAfterCall() throws Exception {
+        try (Peer peer = new Peer()) {
+            for (int i = 0; i < 3; i++) {
+                peer.send("DELETE /burlarch/instances/i-" + i + " HTTP/1.1\r\nHost: h\r\n\r\n");
+                assertThat(peer.status()).isEqualTo(200);
+            }
+        }
+        assertThat(service.calls).containsExactly("leave i-0", "leave i-1", "leave i-2");
+    }
+
+    @Test
+    void whileDrainingOpenConnectionsEndWithTheirNextAnswer() throws Exception {
+        String call = "DELETE /burlarch/instances/i-1 HTTP/1.1\r\nHost: h\r\n\r\n";
+        try (Peer peer = new Peer()) {
+            peer.send(call);
+            assertThat(peer.status()).isEqualTo(200);
+            int port = server.port();
+            server.stopAccepting();
+            until(() -> refuses(port));
+            peer.send(call);
+            assertThat(peer.status()).isEqualTo(200);
+            assertThat(peer.head()).contains("Connection: close");
+            assertThat(peer.ended()).isTrue();
+        }
+    }
+
+    private static void until(BooleanSupplier holds) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!holds.getAsBoolean()) {
+            assertThat(System.nanoTime() - end).as("time over").isNegative();
+            Thread.onSpinWait();
+        }
+    }
+
+    private static boolean refuses(int port) {
+        try (Socket connected = new Socket()) {
+            connected.connect(new InetSocketAddress("127.0.0.1", port), 1000);
+            return false;
+        } catch (ConnectException refused) {
+            return true;
+        } catch (IOException other) {
+            throw new UncheckedIOException(other);
+        }
+    }
+
+    /** A client that sends what it is told. */
+    private final class Peer implements AutoCloseable {
+        private final Socket socket = new Socket("127.0.0.1", server.port());
+        private final OutputStream out = socket.getOutputStream();
+        private final InputStream in = socket.getInputStream();
+        private String head = "";
+
+        Peer() throws IOException {
+            socket.setSoTimeout(10_000);
+        }
+
+        void send(String text) {
+            try {
+                out.write(text.getBytes(StandardCharsets.US_ASCII));
+                out.flush();
+            } catch (IOException refused) {
+                // The server may answer and close before all is sent.
+            }
+        }
+
+        /** Reads one whole answer. */
+        int status() throws IOException {
+            StringBuilder text = new StringBuilder();
+            while (text.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                assertThat(next).as("after %s", text).isNotNegative();
+                text.append((char) next);
+            }
+            head = text.toString();
+            String length = head.replaceAll("(?s).*Content-Length: (\\d+).*", "$1");
+            in.readNBytes(Integer.parseInt(length));
+            return Integer.parseInt(head.split(" ")[1]);
+        }
+
+        String head() {
+            return head;
+        }
+
+        boolean ended() throws IOException {
+            return in.read() < 0;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/controller/state/StateChangesTest.java
@@ -0,0 +1,152 @@
+package burlarch.fleet.controller.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.configuration.ConfigurationDocument;
+import burlarch.configuration.ConfigurationPatch;
+import burlarch.configuration.InvalidConfiguration;
+import burlarch.fleet.controller.state.ChangeResult.Answer;
+import burlarch.fleet.controller.state.ChangeResult.Changed;
+import burlarch.fleet.controller.state.ChangeResult.Unchanged;
+import burlarch.fleet.error.ErrorKind;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class StateChangesTest {
+    private static final String DOCUMENT = """
+            {"config_version": %d, "routes": [{"name": "r", "hostname": "h.example", "path_prefix": "/%s/",
+            "route_type": "idempotent", "timeout_ms": 500, "service": "s"}], "services": [{"name": "s"}],
+            "limits": {"max_header_bytes": 1000, "max_body_bytes": 1000, "header_timeout_ms": 100,
+            "idle_timeout_ms": 100}}""";
+    private static final String PATCH = """
+            {"config_version": %d, "delete": {"services": ["%s"]}}""";
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static ChangeResult put(SystemState state, long ifMatch, long version, String prefix)
+            throws InvalidConfiguration {
+        ConfigurationDocument document =
+                ConfigurationDocument.read(bytes(DOCUMENT.formatted(version, prefix)));
+        return StateChanges.putConfiguration(state, ifMatch, document, document.digest());
+    }
+
+    private static ChangeResult patch(SystemState state, long ifMatch, long version, String service)
+            throws InvalidConfiguration {
+        ConfigurationPatch patch = ConfigurationPatch.read(bytes(PATCH.formatted(version, service)));
+        return StateChanges.patchConfiguration(state, ifMatch, patch, patch.digest());
+    }
+
+    private static SystemState changed(ChangeResult result) {
+        return ((Changed) result).state();
+    }
+
+    /** Versions 3, then 7 on top, are in place. */
+    private static SystemState at7() throws InvalidConfiguration {
+        SystemState at3 = changed(put(SystemState.EMPTY, 0, 3, "a"));
+        return changed(put(at3, 3, 7, "b"));
+    }
+
+    private static String told(ChangeResult result) {
+        return result instanceof Unchanged unchanged ? unchanged.answer().name() : "CHANGED";
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // sent again, also after a later one was built on it, whatever it builds on
+        "0, 3, a, ALREADY_TAKEN", "3, 7, b, ALREADY_TAKEN", "9, 7, b, ALREADY_TAKEN",
+        // the same number for something else, or on top of something else
+        "3, 7, c, CONFLICT", "0, 3, c, CONFLICT", "3, 9, b, CONFLICT", "8, 9, b, CONFLICT",
+        "0, 1, b, CONFLICT",
+        // on top of the current one
+        "7, 9, c, CHANGED", "7, 8, b, CHANGED", "7, 7, c, INVALID", "7, 6, c, INVALID", "7, 3, b, INVALID",
+    })
+    void wholeConfiguration(long ifMatch, long version, String prefix, String expected)
+            throws InvalidConfiguration {
+        assertThat(told(put(at7(), ifMatch, version, prefix))).isEqualTo(expected);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "7, 9, none, CHANGED", "7, 7, none, INVALID", "7, 9, s, INVALID", "3, 9, none, CONFLICT",
+        "3, 9, s, CONFLICT",
+    })
+    void patchedConfiguration(long ifMatch, long version, String service, String expected)
+            throws InvalidConfiguration {
+        assertThat(told(patch(at7(), ifMatch, version, service))).isEqualTo(expected);
+    }
+
+    @Test
+    void aPatchIsKnownAgain() throws InvalidConfiguration {
+        SystemState at9 = changed(patch(at7(), 7, 9, "none"));
+        SystemState at12 = changed(put(at9, 9, 12, "d"));
+        assertThat(at9.configurationVersion()).isEqualTo(9);
+        assertThat(told(patch(at12, 7, 9, "none"))).isEqualTo("ALREADY_TAKEN");
+        assertThat(told(patch(at12, 7, 9, "other"))).isEqualTo("CONFLICT");
+    }
+
+    @Test
+    void aPatchNeedsAConfiguration() throws InvalidConfiguration {
+        assertThat(told(patch(SystemState.EMPTY, 0, 1, "none"))).isEqualTo("INVALID");
+    }
+
+    @Test
+    void anInvalidPatchTellsItsProblems() throws InvalidConfiguration {
+        Unchanged refused = (Unchanged) patch(at7(), 7, 9, "s");
+        assertThat(refused.problems()).isNotEmpty();
+        assertThat(refused.failure().kind()).isEqualTo(ErrorKind.INVALID);
+        assertThat(refused.failure().problems()).isEqualTo(refused.problems());
+    }
+
+    @Test
+    void whatWasTakenIsRememberedWithinBounds() throws InvalidConfiguration {
+        SystemState state = SystemState.EMPTY;
+        for (int version = 1; version <= SystemState.MOST_TAKEN + 1; version++) {
+            state = changed(put(state, version - 1, version, "a"));
+        }
+        assertThat(state.taken()).hasSize(SystemState.MOST_TAKEN);
+        assertThat(told(put(state, 1, 2, "a"))).isEqualTo("ALREADY_TAKEN");
+        assertThat(told(put(state, 0, 1, "a"))).isEqualTo("CONFLICT");
+    }
+
+    @Test
+    void weightsOnlyRise() {
+        SystemState at2 = changed(StateChanges.nameWeights(SystemState.EMPTY, "m", 2));
+        assertThat(at2.weights()).containsEntry("m", 2L);
+        assertThat(told(StateChanges.nameWeights(at2, "m", 2))).isEqualTo("ALREADY_TAKEN");
+        assertThat(told(StateChanges.nameWeights(at2, "m", 1))).isEqualTo("ALREADY_TAKEN");
+        assertThat(told(StateChanges.nameWeights(at2, "m", 0))).isEqualTo("INVALID");
+        assertThat(told(StateChanges.nameWeights(at2, "", 1))).isEqualTo("INVALID");
+        SystemState other = changed(StateChanges.nameWeights(at2, "n", 1));
+        assertThat(changed(StateChanges.nameWeights(other, "m", 4)).weights())
+                .containsEntry("m", 4L).containsEntry("n", 1L);
+    }
+
+    @Test
+    void eachNewOwnerGetsAHigherToken() {
+        SystemState first = changed(StateChanges.takeOwnership(SystemState.EMPTY, "k", "one"));
+        assertThat(((Unchanged) StateChanges.takeOwnership(first, "k", "one")).answer())
+                .isEqualTo(Answer.ALREADY_TAKEN);
+        SystemState second = changed(StateChanges.takeOwnership(first, "k", "two"));
+        SystemState back = changed(StateChanges.takeOwnership(second, "k", "one"));
+        SystemState other = changed(StateChanges.takeOwnership(back, "l", "one"));
+        assertThat(first.owners().get("k")).isEqualTo(new Lease("one", 1));
+        assertThat(second.owners().get("k")).isEqualTo(new Lease("two", 2));
+        assertThat(back.owners().get("k")).isEqualTo(new Lease("one", 3));
+        assertThat(other.owners()).containsEntry("k", new Lease("one", 3))
+                .containsEntry("l", new Lease("one", 4));
+    }
+
+    @Test
+    void ownersAreBounded() {
+        SystemState state = SystemState.EMPTY;
+        for (int i = 0; i < SystemState.MOST_NAMES; i++) {
+            state = changed(StateChanges.takeOwnership(state, "k" + i, "one"));
+        }
+        assertThat(told(StateChanges.takeOwnership(state, "more", "one"))).isEqualTo("INVALID");
+        assertThat(told(StateChanges.takeOwnership(state, "k0", "two"))).isEqualTo("CHANGED");
+    }
+}
