--- a/fleet/src/main/java/burlarch/fleet/controller/state/ChangeResult.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/state/ChangeResult.java
@@ -1,8 +1,8 @@
 package burlarch.fleet.controller.state;
 
-import burlarch.configuration.Problem;
 import burlarch.fleet.error.ErrorKind;
 import burlarch.fleet.error.FleetException;
+import burlarch.fleet.error.Problem;
 import java.util.List;
 
 /** What a change makes of a state. */
--- a/fleet/src/main/java/burlarch/fleet/controller/state/StateChanges.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/state/StateChanges.java
@@ -6,6 +6,8 @@
 import burlarch.fleet.controller.state.ChangeResult.Answer;
 import burlarch.fleet.controller.state.ChangeResult.Changed;
 import burlarch.fleet.controller.state.ChangeResult.Unchanged;
+import burlarch.fleet.error.Problem;
+import java.util.List;
 
 /**
  * The changes that the register's state may take, as pure functions, so that the register can apply one again
@@ -45,10 +47,14 @@
             ConfigurationDocument base = ConfigurationDocument.read(state.configuration());
             return new Changed(state.withConfiguration(change, patch.applyTo(base).json()));
         } catch (InvalidConfiguration invalid) {
-            return new Unchanged(Answer.INVALID, invalid.problems());
+            return new Unchanged(Answer.INVALID, problems(invalid));
         }
     }
 
+    private static List<Problem> problems(InvalidConfiguration invalid) {
+        return invalid.problems().stream().map(one -> new Problem(one.field(), one.reason())).toList();
+    }
+
     private static Unchanged refusal(SystemState state, long ifMatch, TakenChange change) {
         if (state.hasTaken(change)) {
             return Unchanged.ALREADY_TAKEN;
--- a/fleet/src/main/java/burlarch/fleet/error/FleetException.java
+++ b/fleet/src/main/java/burlarch/fleet/error/FleetException.java
@@ -1,6 +1,5 @@
 package burlarch.fleet.error;
 
-import burlarch.configuration.Problem;
 import java.util.List;
 
 /** A call that failed in a way that its caller is told. No fault of the code, so it has no stack trace. */
