--- a/coordination/src/main/java/burlarch/coordination/registry/RegistrySettings.java
+++ b/coordination/src/main/java/burlarch/coordination/registry/RegistrySettings.java
@@ -15,14 +15,19 @@
 public record RegistrySettings(long expiryNanos, long graceNanos, long goneNanos, long loadingNanos,
         int mostInstances, int mostGone) {
     private static final int MISSED_HEARTBEATS = 5;
+    private static final long LEAST_EXPIRY_SECONDS = 3;
     private static final long GONE_SECONDS = 60;
     private static final long LOADING_SECONDS = 30;
     private static final int MOST_INSTANCES = 4096;
     private static final int MOST_GONE = 1024;
 
-    /** The usual bounds for instances that announce themselves so often. */
+    /**
+     * The usual bounds for instances that announce themselves so often. However often that is, expiry stays
+     * long beside a pause between two checks, which would else look like a standstill of the process.
+     */
     public static RegistrySettings forHeartbeat(long heartbeatNanos) {
-        long expiry = MISSED_HEARTBEATS * heartbeatNanos;
+        long expiry = Math.max(MISSED_HEARTBEATS * heartbeatNanos,
+                TimeUnit.SECONDS.toNanos(LEAST_EXPIRY_SECONDS));
         return new RegistrySettings(expiry, expiry, TimeUnit.SECONDS.toNanos(GONE_SECONDS),
                 TimeUnit.SECONDS.toNanos(LOADING_SECONDS), MOST_INSTANCES, MOST_GONE);
     }
