--- a/coordination/src/main/java/burlarch/coordination/rollout/RolloutAction.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/RolloutAction.java
@@ -25,7 +25,7 @@
     record OwnershipLost(long fenceToken) implements RolloutAction {
     }
 
-    /** Call {@link WeightsRollout#onTimer} at that time. */
+    /** Call {@link WeightsRollout#onTimer} at that time, not before. */
     record Timer(long atNanos) implements RolloutAction {
     }
 }
--- /dev/null
+++ b/coordination/src/test/java/burlarch/coordination/rollout/RolloutSearchTest.java
@@ -0,0 +1,37 @@
+package burlarch.coordination.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Many random fleets in virtual time. */
+class RolloutSearchTest {
+    private static final int SEEDS = 500;
+
+    @Test
+    void finishesInTimeWithFewAtOnceWhereNothingIsLost() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            int count = 3 + seed % 18;
+            RolloutSimulation simulation = new RolloutSimulation(seed, count, 0, 500 + seed * 3L);
+            simulation.nameVersion(1000);
+            simulation.run(15_000);
+            simulation.assertDone();
+            assertThat(simulation.lastLoadedAt() - 1000).as("seed %d", seed).isLessThan(8000);
+            assertThat(simulation.mostLoading).as("seed %d", seed).isLessThanOrEqualTo((count + 1) / 2);
+        }
+    }
+
+    @Test
+    void reachesAllThroughLossesRestartsNewVersionsAndOwners() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            RolloutSimulation simulation = new RolloutSimulation(seed, 1 + seed % 12, 0.3, 2000);
+            simulation.nameVersion(1000);
+            simulation.nameVersion(2500 + seed * 7L);
+            simulation.restartOne(1500 + seed * 5L);
+            simulation.restartOne(2100 + seed * 11L);
+            simulation.changeOwner(1300 + seed * 9L);
+            simulation.run(120_000);
+            simulation.assertDone();
+        }
+    }
+}
