--- a/configuration/src/main/java/burlarch/configuration/RouteTable.java
+++ b/configuration/src/main/java/burlarch/configuration/RouteTable.java
@@ -3,7 +3,9 @@
 import burlarch.configuration.Configuration.Route;
 import burlarch.configuration.Configuration.Tenant;
 
-/** A configuration made ready for look-ups: which route a request takes and whose key it carries. Immutable. */
+/**
+ * A configuration made ready for look-ups: which route a request takes and whose key it carries. Immutable.
+ */
 public interface RouteTable {
     /** The configuration that this table was made of. */
     Configuration configuration();
--- a/coordination/src/main/java/burlarch/coordination/distribution/SubscriberTable.java
+++ b/coordination/src/main/java/burlarch/coordination/distribution/SubscriberTable.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 
 /**
- * Which subscribers hold which revision of one stream of updates, and who waits for all of them to hold one. A
- * subscriber that leaves is waited for no longer. Bounded by the subscribers and by {@link #MOST_WAITS}.
+ * Which subscribers hold which revision of one stream of updates, and who waits for all of them to hold one.
+ * A subscriber that leaves is waited for no longer. Bounded by the subscribers and by {@link #MOST_WAITS}.
  *
  * @param <S> names a subscriber
  */
@@ -46,7 +46,9 @@
         heldRevisions.remove(subscriber);
     }
 
-    /** A subscriber holds that revision; an older one changes nothing. Call {@link #finishedWaits} afterwards. */
+    /**
+     * A subscriber holds that revision; an older one changes nothing. Call {@link #finishedWaits} afterwards.
+     */
     public void onAcknowledged(S subscriber, long revision) {
         heldRevisions.computeIfPresent(subscriber, (key, held) -> Math.max(held, revision));
     }
--- a/coordination/src/main/java/burlarch/coordination/register/AcceptorSetPlan.java
+++ b/coordination/src/main/java/burlarch/coordination/register/AcceptorSetPlan.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 
 /**
- * Decides the next change of the acceptor set: one replaced, added or removed at a time. Sizes are odd but while a
- * member is being exchanged, as an even set bears no more losses than the odd one below it.
+ * Decides the next change of the acceptor set: one replaced, added or removed at a time. Sizes are odd but
+ * while a member is being exchanged, as an even set bears no more losses than the odd one below it.
  */
 public final class AcceptorSetPlan {
     /** Most acceptors. More would cost messages and bear no loss that is asked for. */
--- a/coordination/src/main/java/burlarch/coordination/registry/InstanceRegistry.java
+++ b/coordination/src/main/java/burlarch/coordination/registry/InstanceRegistry.java
@@ -10,11 +10,11 @@
 import java.util.TreeMap;
 
 /**
- * The instances by what they announced. One rule orders all news of an id, wherever it comes from: the highest
- * sequence wins. An instance that has left has the sequence {@link #LEFT}, which nothing beats; one that was
- * not heard of for too long, or whose address another took, keeps its last sequence, so that it comes back with
- * its next announcement. Times are nanoseconds of one clock that doesn't jump. Not safe for use by threads at
- * the same time.
+ * The instances by what they announced. One rule orders all news of an id, wherever it comes from: the
+ * highest sequence wins. An instance that has left has the sequence {@link #LEFT}, which nothing beats; one
+ * that was not heard of for too long, or whose address another took, keeps its last sequence, so that it
+ * comes back with its next announcement. Times are nanoseconds of one clock that doesn't jump. Not safe for
+ * use by threads at the same time.
  */
 public final class InstanceRegistry {
     /** The sequence of an instance that has left for good. */
--- a/coordination/src/main/java/burlarch/coordination/registry/InstanceViews.java
+++ b/coordination/src/main/java/burlarch/coordination/registry/InstanceViews.java
@@ -9,9 +9,10 @@
 import java.util.Set;
 
 /**
- * What a router holds of the instances, from the registries of several controllers. The newest announcement of an id wins.
- * A controller that knows nothing of an instance, as after its restart, takes nothing away; one that counts an instance
- * as lost to silence is believed once no other connected controller holds it live. Bounded by {@link #MOST_INSTANCES}.
+ * What a router holds of the instances, from the registries of several controllers. The newest announcement
+ * of an id wins. A controller that knows nothing of an instance, as after its restart, takes nothing away;
+ * one that counts an instance as lost to silence is believed once no other connected controller holds it
+ * live. Bounded by {@link #MOST_INSTANCES}.
  */
 public final class InstanceViews {
     /** Instances beyond this number are passed over. */
--- a/coordination/src/main/java/burlarch/coordination/rollout/RolloutSettings.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/RolloutSettings.java
@@ -18,8 +18,9 @@
     private static final long REPORT_INTERVAL_MILLIS = 500;
 
     /**
-     * The usual times beside the deployment's {@code version_ms}. Running requests go on: an engine that lets them end
-     * first stands idle for up to the longest stream, which costs far more worth than the load itself.
+     * The usual times beside the deployment's {@code version_ms}. Running requests go on: an engine that lets
+     * them end first stands idle for up to the longest stream, which costs far more worth than the load
+     * itself.
      */
     public static RolloutSettings of(long versionMillis) {
         return new RolloutSettings(TimeUnit.MILLISECONDS.toNanos(versionMillis),
--- a/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * This process holds the ownership under that token. Tokens rise; the same one may be taken up again after a pause,
-     * unless an engine has shown that a higher one is out.
+     * This process holds the ownership under that token. Tokens rise; the same one may be taken up again
+     * after a pause, unless an engine has shown that a higher one is out.
      */
     public List<RolloutAction> onOwnership(long token, long now) {
         boolean resumed = tokenSeen && token == fenceToken && !owner && !fenced;
--- a/fleet/src/main/java/burlarch/fleet/controller/AcceptorHost.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/AcceptorHost.java
@@ -13,8 +13,9 @@
 import org.tinylog.Logger;
 
 /**
- * This process's acceptor on a thread of its own, which alone touches the disk: a disk that hangs makes the acceptor
- * silent and holds nothing else up. A reply leaves only after its state is durable; one whose write fails is dropped.
+ * This process's acceptor on a thread of its own, which alone touches the disk: a disk that hangs makes the
+ * acceptor silent and holds nothing else up. A reply leaves only after its state is durable; one whose write
+ * fails is dropped.
  */
 final class AcceptorHost {
     /** Messages that wait for the disk; further ones are dropped, as proposers send again. */
--- a/fleet/src/main/java/burlarch/fleet/controller/AcceptorKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/AcceptorKeeper.java
@@ -10,8 +10,9 @@
 import org.tinylog.Logger;
 
 /**
- * Keeps the register's acceptors in step with the controllers that live. The first live one by address acts; the others
- * wait longer the later they stand, so that they rarely get into each other's way. Lives on the loop.
+ * Keeps the register's acceptors in step with the controllers that live. The first live one by address acts;
+ * the others wait longer the later they stand, so that they rarely get into each other's way. Lives on the
+ * loop.
  */
 final class AcceptorKeeper {
     private static final long PERIOD_NANOS = 250_000_000;
@@ -68,7 +69,8 @@
         changing = true;
         register.changeMembers(members, next).whenComplete((state, failure) -> {
             changing = false;
-            Logger.info("acceptors {} to {}: {}", members, next, failure == null ? "done" : failure.getMessage());
+            Logger.info("acceptors {} to {}: {}", members, next,
+                    failure == null ? "done" : failure.getMessage());
         });
     }
 
--- a/fleet/src/main/java/burlarch/fleet/controller/ConfirmedReads.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ConfirmedReads.java
@@ -8,8 +8,9 @@
 import java.util.Set;
 
 /**
- * Lets a router that has just connected have the configuration once a quorum confirmed the newest one: a controller
- * that is cut off from the others may hold an old one. One read serves all routers that waited at its start.
+ * Lets a router that has just connected have the configuration once a quorum confirmed the newest one: a
+ * controller that is cut off from the others may hold an old one. One read serves all routers that waited at
+ * its start.
  */
 final class ConfirmedReads {
     private static final long RETRY_NANOS = 200_000_000;
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -7,7 +7,10 @@
 import burlarch.transport.NodeMessage.Decided;
 import burlarch.transport.NodeTransport;
 
-/** Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the loop. */
+/**
+ * Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the
+ * loop.
+ */
 final class ControllerMessages implements NodeTransport.Listener {
     /** Role that routers give in their Hello. */
     static final String ROUTER = "router";
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
@@ -14,8 +14,8 @@
 import java.util.TreeMap;
 
 /**
- * The other controllers: known by the seeds and by what controllers tell of one another, each with the connection
- * that this process asked for. Lives on the loop.
+ * The other controllers: known by the seeds and by what controllers tell of one another, each with the
+ * connection that this process asked for. Lives on the loop.
  */
 final class ControllerPeers {
     /** Most controllers that are known; further addresses are passed over. */
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -32,7 +32,10 @@
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.tinylog.Logger;
 
-/** A controller: the operator's API, announcements of instances, a replica of the register, streams to routers. */
+/**
+ * A controller: the operator's API, announcements of instances, a replica of the register, streams to
+ * routers.
+ */
 public final class ControllerProgram {
     private static final long CALL_MILLIS = 930;
     private static final int IDENTITY_BYTES = 12;
@@ -54,8 +57,8 @@
         String incarnation = randomHex();
         NodeLoop loop = new NodeLoop("node");
         ControllerMessages messages = new ControllerMessages(loop);
-        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ControllerMessages.CONTROLLER, address,
-                settings.zone(), store.identity(), incarnation);
+        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ControllerMessages.CONTROLLER,
+                address, settings.zone(), store.identity(), incarnation);
         NodeTransport transport = new NodeTransport(loop, hello, NodeAddresses.socket(address), messages);
         Member own = new Member(store.identity(), address);
         loop.execute(() -> {
@@ -71,8 +74,8 @@
             List<String> seeds, String proposerName) {
         DecidedState decided = new DecidedState(firstMembers);
         ControllerPeers peers = new ControllerPeers(loop, transport, own.address());
-        RegisterDriver driver = new RegisterDriver(loop, peers, new AcceptorHost(store), own.address(), proposerName,
-                new SplittableRandom(), decided::members);
+        RegisterDriver driver = new RegisterDriver(loop, peers, new AcceptorHost(store), own.address(),
+                proposerName, new SplittableRandom(), decided::members);
         StateRegister register = new StateRegister(driver, decided, peers);
         InstanceRegistry registry = new InstanceRegistry(
                 RegistrySettings.forHeartbeat(settings.heartbeatNanos()), loop.nanoTime());
@@ -92,11 +95,12 @@
     }
 
     private static void startWeightsDuty(NodeSettings settings, NodeLoop loop, DecidedState decided,
-            StateRegister register, InstanceRegistry registry, RouterPublisher publisher, ControllerPeers peers,
-            Member own, String processName) {
+            StateRegister register, InstanceRegistry registry, RouterPublisher publisher,
+            ControllerPeers peers, Member own, String processName) {
         WeightsRollout rollout = new WeightsRollout(
                 RolloutSettings.of(TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos())));
-        WeightsDuty duty = new WeightsDuty(loop, registry, publisher, new EngineClient(engineHttp()), rollout);
+        WeightsDuty duty = new WeightsDuty(loop, registry, publisher, new EngineClient(engineHttp()),
+                rollout);
         OwnershipKeeper ownership = new OwnershipKeeper(loop, register, peers, WEIGHTS, own.address(),
                 processName + "@" + own.address(), settings.bounds().leaseNanos(), duty::hasWork, duty);
         duty.start(ownership);
@@ -129,7 +133,9 @@
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().control());
     }
 
-    /** At the first start the identity follows from the address, so that all know the first acceptors unasked. */
+    /**
+     * At the first start the identity follows from the address, so that all know the first acceptors unasked.
+     */
     private static AcceptorStore openStore(NodeSettings settings, String address) throws IOException {
         return AcceptorStore.open(new FolderDisk(settings.dataDir()),
                 () -> settings.bootstrap() ? firstIdentity(address) : randomHex());
--- a/fleet/src/main/java/burlarch/fleet/controller/InstanceFeed.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/InstanceFeed.java
@@ -9,8 +9,8 @@
 import java.util.List;
 
 /**
- * What instances announce here and at the other controllers: changes go on at once, mere heartbeats in batches, so
- * that each controller knows who was heard of. Lives on the loop.
+ * What instances announce here and at the other controllers: changes go on at once, mere heartbeats in
+ * batches, so that each controller knows who was heard of. Lives on the loop.
  */
 final class InstanceFeed {
     private static final long BATCH_NANOS = 250_000_000;
--- a/fleet/src/main/java/burlarch/fleet/controller/OperatorCalls.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OperatorCalls.java
@@ -21,7 +21,9 @@
 
 /** Calls of the operator and of instances, taken from Jetty's threads to the loop. */
 final class OperatorCalls implements ControlService {
-    /** How long routers are waited for before a change or a drain is acknowledged: those cut off won't answer. */
+    /**
+     * How long routers are waited for before a change or a drain is acknowledged: those cut off won't answer.
+     */
     private static final long ROUTERS_NANOS = 300_000_000;
     /** How long a first configuration waits for the acceptors that the losses to be borne need. */
     private static final long FOUNDING_NANOS = 4_000_000_000L;
@@ -96,7 +98,8 @@
                 return CompletableFuture.<Void>failedFuture(new FleetException(ErrorKind.NO_QUORUM));
             }
             return register.change(change)
-                    .thenCompose(state -> publisher.awaitConfiguration(state.configurationVersion(), ROUTERS_NANOS))
+                    .thenCompose(state -> publisher
+                            .awaitConfiguration(state.configurationVersion(), ROUTERS_NANOS))
                     .whenComplete((done, failure) -> Logger.info("{}: {}", name,
                             failure == null ? "in force" : failure.getMessage()));
         });
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -13,8 +13,9 @@
 import org.tinylog.Logger;
 
 /**
- * Keeps one duty with one of the live controllers. The one that the duty falls to by rendezvous takes it ahead of need, so
- * that the former owner's lease is over by then; while there is work it has the register confirm it. Lives on the loop.
+ * Keeps one duty with one of the live controllers. The one that the duty falls to by rendezvous takes it
+ * ahead of need, so that the former owner's lease is over by then; while there is work it has the register
+ * confirm it. Lives on the loop.
  */
 final class OwnershipKeeper {
     private static final long PERIOD_NANOS = 200_000_000;
@@ -46,8 +47,8 @@
     private final long leaseNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
-    OwnershipKeeper(NodeLoop loop, StateRegister register, ControllerPeers peers, String key, String ownAddress,
-            String holderName, long leaseNanos, BooleanSupplier hasWork, Duty duty) {
+    OwnershipKeeper(NodeLoop loop, StateRegister register, ControllerPeers peers, String key,
+            String ownAddress, String holderName, long leaseNanos, BooleanSupplier hasWork, Duty duty) {
         this.loop = loop;
         this.register = register;
         this.peers = peers;
@@ -123,7 +124,10 @@
         return known != null && known.holder().equals(holderName);
     }
 
-    /** Whether the duty falls to this controller: the owner is lost, and rendezvous over those that live names it. */
+    /**
+     * Whether the duty falls to this controller: the owner is lost, and rendezvous over those that live names
+     * it.
+     */
     private boolean falls() {
         Lease known = register.known().owners().get(key);
         if (known != null && ownerLives(known.holder())) {
--- a/fleet/src/main/java/burlarch/fleet/controller/RegisterDriver.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/RegisterDriver.java
@@ -17,14 +17,15 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Runs proposals one after the other, so that those of one process don't get into each other's way, and lets the own
- * acceptor answer those of others. Lives on the loop.
+ * Runs proposals one after the other, so that those of one process don't get into each other's way, and lets
+ * the own acceptor answer those of others. Lives on the loop.
  */
 final class RegisterDriver {
     /** Proposals that wait for their turn; a further one ends at once as not started. */
     private static final int MOST_WAITING = 64;
 
-    private record Waiting(RegisterChange change, long deadlineNanos, CompletableFuture<ProposalResult> result) {
+    private record Waiting(RegisterChange change, long deadlineNanos,
+            CompletableFuture<ProposalResult> result) {
     }
 
     private final NodeLoop loop;
--- a/fleet/src/main/java/burlarch/fleet/controller/RouterPublisher.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/RouterPublisher.java
@@ -19,11 +19,14 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Streams configurations and instances to the routers that are connected, and tells when all of them hold a revision.
- * Lives on the loop.
+ * Streams configurations and instances to the routers that are connected, and tells when all of them hold a
+ * revision. Lives on the loop.
  */
 final class RouterPublisher {
-    /** A configuration that another controller chose is sent by that one: here only to those that lack it by then. */
+    /**
+     * A configuration that another controller chose is sent by that one: here only to those that lack it by
+     * then.
+     */
     private static final long OTHERS_CHANGE_DELAY_NANOS = 150_000_000;
 
     private final NodeLoop loop;
@@ -45,7 +48,9 @@
         this.registry = registry;
     }
 
-    /** A router is connected. It gets instances at once, the configuration once {@link #onConfirmed} allows. */
+    /**
+     * A router is connected. It gets instances at once, the configuration once {@link #onConfirmed} allows.
+     */
     void onRouterUp(Connection router, List<String> controllers) {
         routers.add(router);
         configurations.subscribe(router);
@@ -76,7 +81,10 @@
         routers.forEach(router -> router.sendFrame(frame));
     }
 
-    /** The router was connected before a read that a quorum confirmed began: it may be sent the newest configuration. */
+    /**
+     * The router was connected before a read that a quorum confirmed began: it may be sent the newest
+     * configuration.
+     */
     void onConfirmed(Connection router) {
         if (routers.contains(router) && confirmed.add(router) && configurationFrame != null) {
             router.sendFrame(configurationFrame);
--- a/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
@@ -17,8 +17,8 @@
 import java.util.function.Function;
 
 /**
- * The register as one that holds a {@link SystemState}: what a proposal chose is adopted and told to the other
- * controllers before anyone hears of its end. Lives on the loop.
+ * The register as one that holds a {@link SystemState}: what a proposal chose is adopted and told to the
+ * other controllers before anyone hears of its end. Lives on the loop.
  */
 final class StateRegister {
     private static final long PROPOSAL_NANOS = 850_000_000;
@@ -41,12 +41,14 @@
     /**
      * Changes the state.
      *
-     * @return the state that holds the change, also where it held it before; fails with a {@link FleetException}
+     * @return the state that holds the change, also where it held it before; fails with a {@link
+     * FleetException}
      */
     CompletableFuture<SystemState> change(Function<SystemState, ChangeResult> change) {
         Attempt attempt = new Attempt();
         return driver.propose(current -> {
-            SystemState state = current == null ? SystemState.EMPTY : SystemStateCodec.decode(current.payload());
+            SystemState state = current == null ? SystemState.EMPTY
+                    : SystemStateCodec.decode(current.payload());
             attempt.result = change.apply(state);
             return decision(current, attempt.result);
         }, PROPOSAL_NANOS).thenApply(result -> {
@@ -84,7 +86,8 @@
     CompletableFuture<SystemState> changeMembers(List<Member> from, List<Member> to) {
         return driver.propose(current -> {
             boolean asExpected = current != null && current.members().equals(from);
-            return asExpected ? new Decision.Write(new RegisterValue(to, current.payload())) : Decision.keep();
+            return asExpected ? new Decision.Write(new RegisterValue(to, current.payload()))
+                    : Decision.keep();
         }, PROPOSAL_NANOS).thenApply(this::adopt);
     }
 
@@ -93,7 +96,8 @@
             if (decided.adopt(chosen.ballot(), chosen.value(), true)) {
                 peers.sendAll(new NodeMessage.Decided(chosen.ballot(), chosen.value()));
             }
-            return chosen.value() == null ? SystemState.EMPTY : SystemStateCodec.decode(chosen.value().payload());
+            return chosen.value() == null ? SystemState.EMPTY
+                    : SystemStateCodec.decode(chosen.value().payload());
         }
         boolean unclear = result instanceof ProposalResult.Unknown;
         throw new FleetException(unclear ? ErrorKind.UNCLEAR : ErrorKind.NO_QUORUM);
--- a/fleet/src/main/java/burlarch/fleet/error/ErrorKind.java
+++ b/fleet/src/main/java/burlarch/fleet/error/ErrorKind.java
@@ -47,7 +47,9 @@
         return retryAfterMillis != NO_RETRY;
     }
 
-    /** The value of {@code Retry-After}: seconds, fractions included. Holds only where {@link #mayRetry()}. */
+    /**
+     * The value of {@code Retry-After}: seconds, fractions included. Holds only where {@link #mayRetry()}.
+     */
     public String retryAfterSeconds() {
         return Double.toString(retryAfterMillis / MILLIS_A_SECOND);
     }
--- a/fleet/src/main/java/burlarch/fleet/error/FleetException.java
+++ b/fleet/src/main/java/burlarch/fleet/error/FleetException.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** A call that failed in a way that its caller is to be told. Carries no stack trace, being no fault of the code. */
+/**
+ * A call that failed in a way that its caller is to be told. Carries no stack trace, being no fault of the
+ * code.
+ */
 public final class FleetException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
--- a/fleet/src/main/java/burlarch/fleet/node/HangUp.java
+++ b/fleet/src/main/java/burlarch/fleet/node/HangUp.java
@@ -3,8 +3,8 @@
 import sun.misc.Signal;
 
 /**
- * SIGHUP, which tells that the settings file has changed. Taken before anything else of a program starts: until then
- * the signal would end the process. One that comes before there is a listener is kept for it.
+ * SIGHUP, which tells that the settings file has changed. Taken before anything else of a program starts:
+ * until then the signal would end the process. One that comes before there is a listener is kept for it.
  */
 public final class HangUp {
     private static Runnable listener;
--- a/fleet/src/main/java/burlarch/fleet/node/SettingsWatch.java
+++ b/fleet/src/main/java/burlarch/fleet/node/SettingsWatch.java
@@ -10,8 +10,8 @@
 import org.tinylog.Logger;
 
 /**
- * Reads the settings file again on SIGHUP, and where it changed without one. A file that is missing or wrong changes
- * nothing: what was read before stays in force.
+ * Reads the settings file again on SIGHUP, and where it changed without one. A file that is missing or wrong
+ * changes nothing: what was read before stays in force.
  */
 public final class SettingsWatch implements Runnable {
     private static final long PERIOD_MILLIS = TimeUnit.SECONDS.toMillis(2);
@@ -28,7 +28,9 @@
         seen = modified();
     }
 
-    /** Watches the file that the environment names; {@code changed} is called on a thread of the watch's own. */
+    /**
+     * Watches the file that the environment names; {@code changed} is called on a thread of the watch's own.
+     */
     public static void start(Consumer<NodeSettings> changed) {
         SettingsWatch watch = new SettingsWatch(Path.of(System.getenv(NodeSettings.FILE_VARIABLE)), changed);
         HangUp.listen(watch::onSignal);
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -18,8 +18,8 @@
 import org.tinylog.Logger;
 
 /**
- * A router's streams from all controllers: the newest configuration wins, instances are combined, and what has been
- * put into effect is acknowledged. Lives on the loop.
+ * A router's streams from all controllers: the newest configuration wins, instances are combined, and what
+ * has been put into effect is acknowledged. Lives on the loop.
  */
 final class ControllerLinks implements NodeTransport.Listener {
     /** Controllers beyond this number are passed over. */
--- a/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
+++ b/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
@@ -13,12 +13,15 @@
 import java.util.Map;
 
 /**
- * Which engines and stores this router follows. Each of them holds few calls at once: where there are more routers than
- * it may hold calls, each router follows a part, chosen so that every source has about as many followers as it bears.
- * Lives on the loop.
+ * Which engines and stores this router follows. Each of them holds few calls at once: where there are more
+ * routers than it may hold calls, each router follows a part, chosen so that every source has about as many
+ * followers as it bears. Lives on the loop.
  */
 final class FollowedSources {
-    /** Places at a source that are left to others, and to calls that have not ended yet when the next one begins. */
+    /**
+     * Places at a source that are left to others, and to calls that have not ended yet when the next one
+     * begins.
+     */
     private static final int PLACES_LEFT = 2;
 
     private final String nodeName;
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -45,8 +45,8 @@
                 () -> ThreadLocalRandom.current().nextDouble());
         ControllerLinks links = new ControllerLinks(
                 new InForce(planner, lock, server, new FollowedSources(settings.nodeName(), follower)));
-        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ROLE, NodeAddresses.own(settings),
-                settings.zone(), "", UUID.randomUUID().toString());
+        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ROLE,
+                NodeAddresses.own(settings), settings.zone(), "", UUID.randomUUID().toString());
         NodeTransport transport = new NodeTransport(loop, hello,
                 NodeAddresses.socket(NodeAddresses.own(settings)), links);
         loop.execute(() -> links.start(transport, NodeAddresses.seeds(settings)));
--- a/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
@@ -108,7 +108,10 @@
         return connector;
     }
 
-    /** A client for calls to engines beside requests, on this server's threads and buffers; to be called once started. */
+    /**
+     * A client for calls to engines beside requests, on this server's threads and buffers; to be called once
+     * started.
+     */
     public HttpClient newEngineHttp() throws Exception {
         return EngineHttp.start(server.getThreadPool(), scheduler, server.getByteBufferPool());
     }
--- a/routing/src/main/java/burlarch/routing/Planner.java
+++ b/routing/src/main/java/burlarch/routing/Planner.java
@@ -15,7 +15,9 @@
     /** All instances that are known, whole; draining, loading and gone ones may be among them. */
     void onInstances(Collection<Instance> instances, long nowNanos);
 
-    /** How many live routers there are, this one included: budgets and learned capacity are shared by them. */
+    /**
+     * How many live routers there are, this one included: budgets and learned capacity are shared by them.
+     */
     void onRouters(int live, long nowNanos);
 
     /** Events of one engine or store, in their order. */
--- a/routing/src/main/java/burlarch/routing/RouteRequest.java
+++ b/routing/src/main/java/burlarch/routing/RouteRequest.java
@@ -18,7 +18,8 @@
  * @param deadlineNanos until when the client waits
  */
 public record RouteRequest(String id, Route route, Tenant tenant, String model, int promptTokens,
-        int maxOutputTokens, List<PromptPart> parts, boolean resumes, long receivedNanos, long deadlineNanos) {
+        int maxOutputTokens, List<PromptPart> parts, boolean resumes, long receivedNanos,
+        long deadlineNanos) {
 
     /** A part of a prompt: its id as an unsigned number, and its length. */
     public record PromptPart(long id, int tokens) {
--- a/transport/src/main/java/burlarch/transport/NodeMessage.java
+++ b/transport/src/main/java/burlarch/transport/NodeMessage.java
@@ -27,7 +27,9 @@
     record Decided(Ballot ballot, RegisterValue value) implements NodeMessage {
     }
 
-    /** Controllers to one another, repeatedly: what they know as decided, and other controllers by address. */
+    /**
+     * Controllers to one another, repeatedly: what they know as decided, and other controllers by address.
+     */
     record ControllerStatus(Ballot decided, List<String> controllers) implements NodeMessage {
     }
 
