--- a/fleet/src/main/java/burlarch/fleet/controller/state/SystemState.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/state/SystemState.java
@@ -21,7 +21,8 @@
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record SystemState(@JsonProperty("v") long configurationVersion,
         @JsonProperty("c") byte[] configuration, @JsonProperty("t") List<TakenChange> taken,
-        @JsonProperty("w") Map<String, Long> weights, @JsonProperty("o") Map<String, Lease> owners, @JsonProperty("n") long nextToken) {
+        @JsonProperty("w") Map<String, Long> weights, @JsonProperty("o") Map<String, Lease> owners,
+        @JsonProperty("n") long nextToken) {
     /** How many taken changes are known again when they are sent again. */
     public static final int MOST_TAKEN = 256;
     /** Most models that have named weights, and most keys that have an owner. */
