--- a/fleet/src/main/java/burlarch/fleet/Commands.java
+++ b/fleet/src/main/java/burlarch/fleet/Commands.java
@@ -2,6 +2,7 @@
 
 import burlarch.fleet.controller.ControllerProgram;
 import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.rehearsal.Rehearsal;
 import burlarch.fleet.router.RouterProgram;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -34,6 +35,30 @@
         }
     }
 
+    /** {@code rehearse}; ends the process. */
+    public static final class Rehearse implements Command {
+        private static final long LONGEST_MILLIS = 60_000;
+
+        @Override
+        public void run(PrintStream output) throws Exception {
+            Thread watch = new Thread(Rehearse::haltLate, "watch");
+            watch.setDaemon(true);
+            watch.start();
+            Rehearsal.run();
+            System.exit(Main.DONE);
+        }
+
+        /** A build must not hang. */
+        private static void haltLate() {
+            try {
+                Thread.sleep(LONGEST_MILLIS);
+                Runtime.getRuntime().halt(Main.FAILED);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
     /** {@code check-settings FILE} */
     public static final class CheckSettings implements Command {
         @Argument(metaVar = "FILE", required = true, usage = "a file of settings")
--- a/fleet/src/main/java/burlarch/fleet/Main.java
+++ b/fleet/src/main/java/burlarch/fleet/Main.java
@@ -28,6 +28,7 @@
             burlarch [--help] [--version] COMMAND
               router               runs a router, set up by the file that BURLARCH_NODE_FILE names
               controller           runs a controller, set up by the same
+              rehearse             starts both on loopback and ends: loads what they need
               check-settings FILE  says what is wrong with a file of settings
             Exit codes:
               0  it did what it was asked to
@@ -43,6 +44,7 @@
     @Argument(metaVar = "COMMAND", required = true, handler = SubCommandHandler.class)
     @SubCommands({@SubCommand(name = "router", impl = Commands.Router.class),
         @SubCommand(name = "controller", impl = Commands.Controller.class),
+        @SubCommand(name = "rehearse", impl = Commands.Rehearse.class),
         @SubCommand(name = "check-settings", impl = Commands.CheckSettings.class)})
     private Commands.Command command;
 
