--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -1,5 +1,6 @@
 package burlarch.fleet.controller;
 
+import burlarch.fleet.node.Roles;
 import burlarch.transport.Connection;
 import burlarch.transport.NodeLoop;
 import burlarch.transport.NodeMessage;
@@ -9,11 +10,6 @@
 
 /** Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the loop. */
 final class ControllerMessages implements NodeTransport.Listener {
-    /** Role that routers give in their Hello. */
-    static final String ROUTER = "router";
-    /** Role that controllers give in their Hello. */
-    static final String CONTROLLER = "controller";
-
     private static final long STATUS_NANOS = 300_000_000;
 
     private final NodeLoop loop;
@@ -31,10 +27,10 @@
 
     @Override
     public void onUp(Connection connection) {
-        if (connection.peer().role().equals(ROUTER)) {
+        if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterUp(connection, parts.peers().knownAddresses());
             parts.reads().onRouterUp(connection);
-        } else if (connection.peer().role().equals(CONTROLLER)) {
+        } else if (connection.peer().role().equals(Roles.CONTROLLER)) {
             parts.peers().onUp(connection);
             connection.send(status());
         }
@@ -42,7 +38,7 @@
 
     @Override
     public void onDown(Connection connection) {
-        if (connection.peer().role().equals(ROUTER)) {
+        if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterDown(connection, parts.peers().knownAddresses());
             parts.reads().onRouterDown(connection);
         } else {
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
@@ -23,6 +23,7 @@
 
     private static final class Peer {
         private String storage = "";
+        private String incarnation = "";
         private Connection connection;
         private long sinceNanos;
     }
@@ -57,6 +58,7 @@
         Peer peer = peers.get(hello.address());
         if (peer != null && connection.outgoing()) {
             peer.storage = hello.storage();
+            peer.incarnation = hello.incarnation();
             peer.connection = connection;
             peer.sinceNanos = loop.nanoTime();
         }
@@ -95,6 +97,12 @@
         return address.equals(ownAddress) || peer != null && peer.connection != null;
     }
 
+    /** Of the process that was last connected with there; empty where there was none. */
+    String incarnation(String address) {
+        Peer peer = peers.get(address);
+        return peer == null ? "" : peer.incarnation;
+    }
+
     /** Since when that controller is up or down; 0 where it was never heard of. */
     long sinceNanos(String address) {
         Peer peer = peers.get(address);
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import burlarch.configuration.ConfigurationDocument;
+import burlarch.coordination.membership.SwimSettings;
 import burlarch.coordination.register.Member;
 import burlarch.coordination.registry.InstanceRegistry;
 import burlarch.coordination.registry.RegistrySettings;
@@ -11,8 +12,10 @@
 import burlarch.fleet.controller.api.ControlServer;
 import burlarch.fleet.engine.EngineClient;
 import burlarch.fleet.engine.EngineHttp;
+import burlarch.fleet.node.Membership;
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.node.Roles;
 import burlarch.fleet.node.Shutdown;
 import burlarch.storage.AcceptorStore;
 import burlarch.storage.FolderDisk;
@@ -50,24 +53,29 @@
         List<String> seeds = NodeAddresses.seeds(settings);
         AcceptorStore store = openStore(settings, address);
         List<Member> firstMembers = firstMembers(store, settings, seeds);
-        String incarnation = randomHex();
+        long process = Incarnations.draw();
+        String incarnation = Incarnations.text(process);
         NodeLoop loop = new NodeLoop("node");
         ControllerMessages messages = new ControllerMessages(loop);
-        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ControllerMessages.CONTROLLER, address,
+        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), Roles.CONTROLLER, address,
                 settings.zone(), store.identity(), incarnation);
         NodeTransport transport = new NodeTransport(loop, hello, NodeAddresses.socket(address), messages);
+        Membership membership = new Membership(loop,
+                new Membership.Self(settings.nodeName(), Roles.CONTROLLER, settings.zone(), process),
+                NodeAddresses.socket(address), seeds, SwimSettings.defaults());
         Member own = new Member(store.identity(), address);
         loop.execute(() -> {
-            OperatorCalls calls = wire(settings, loop, transport, messages, store, own, firstMembers, seeds,
-                    settings.nodeName() + "-" + incarnation);
-            serve(settings, calls);
+            OperatorCalls calls = wire(settings, loop, transport, messages, membership, store, own, firstMembers,
+                    seeds, Incarnations.processName(settings.nodeName(), incarnation));
+            membership.start();
+            serve(settings, calls, membership);
         });
         ConfigurationDocument.prepareChecks();
     }
 
     private static OperatorCalls wire(NodeSettings settings, NodeLoop loop, NodeTransport transport,
-            ControllerMessages messages, AcceptorStore store, Member own, List<Member> firstMembers,
-            List<String> seeds, String proposerName) {
+            ControllerMessages messages, Membership membership, AcceptorStore store, Member own,
+            List<Member> firstMembers, List<String> seeds, String proposerName) {
         DecidedState decided = new DecidedState(firstMembers);
         ControllerPeers peers = new ControllerPeers(loop, transport, own.address());
         RegisterDriver driver = new RegisterDriver(loop, peers, new AcceptorHost(store), own.address(), proposerName,
@@ -82,7 +90,13 @@
         decided.addListener((state, ownProposal) -> peers.learn(
                 decided.members().stream().map(Member::address).toList()));
         new AcceptorKeeper(loop, decided, register, peers, own);
-        startWeightsDuty(settings, loop, decided, register, registry, publisher, peers, own, proposerName);
+        KnownControllers controllers = new KnownControllers();
+        membership.addListener(changes -> {
+            controllers.onChanges(changes);
+            peers.learn(Membership.appeared(changes, Roles.CONTROLLER));
+        });
+        startWeightsDuty(settings, loop, decided, register, registry, publisher,
+                new OwnerWatch(peers, controllers, own.address()), own, proposerName);
         messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
         peers.learn(seeds);
         peers.learn(firstMembers.stream().map(Member::address).toList());
@@ -90,13 +104,13 @@
     }
 
     private static void startWeightsDuty(NodeSettings settings, NodeLoop loop, DecidedState decided,
-            StateRegister register, InstanceRegistry registry, RouterPublisher publisher, ControllerPeers peers,
+            StateRegister register, InstanceRegistry registry, RouterPublisher publisher, OwnerWatch owners,
             Member own, String processName) {
         WeightsRollout rollout = new WeightsRollout(
                 RolloutSettings.of(TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos())));
         WeightsDuty duty = new WeightsDuty(loop, registry, publisher, new EngineClient(engineHttp()), rollout);
-        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, peers, WEIGHTS, own.address(),
-                processName + "@" + own.address(), settings.bounds().leaseNanos(), duty::hasWork, duty);
+        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, owners, WEIGHTS, own.address(),
+                OwnerWatch.holderName(processName, own.address()), settings.bounds().leaseNanos(), duty::hasWork, duty);
         duty.start(ownership);
         decided.addListener((state, ownProposal) -> duty.onDecided(state));
     }
@@ -115,7 +129,7 @@
         }
     }
 
-    private static void serve(NodeSettings settings, OperatorCalls calls) {
+    private static void serve(NodeSettings settings, OperatorCalls calls, Membership membership) {
         ControlServer server = new ControlServer(settings.listen().control(), calls, CALL_MILLIS);
         try {
             server.start();
@@ -123,7 +137,10 @@
             Logger.error(e, "cannot serve {}", settings.listen().control());
             Runtime.getRuntime().halt(1);
         }
-        Shutdown.onSignal(server::stopAccepting);
+        Shutdown.onSignal(() -> {
+            server.stopAccepting();
+            membership.leaveInTime();
+        });
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().control());
     }
 
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/KnownControllers.java
@@ -0,0 +1,53 @@
+package burlarch.fleet.controller;
+
+import burlarch.coordination.membership.MemberChange;
+import burlarch.coordination.membership.MemberInfo;
+import burlarch.coordination.membership.MemberState;
+import burlarch.fleet.node.Roles;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What membership believes of the other controllers, by their addresses. Lives on the loop. */
+final class KnownControllers {
+    /** The one heard of first gives way to a further one. */
+    private static final int MOST = 64;
+
+    private record Belief(long process, MemberState state) {
+    }
+
+    private final Map<String, Belief> byAddress = new LinkedHashMap<>();
+
+    void onChanges(List<MemberChange> changes) {
+        for (MemberChange change : changes) {
+            if (change.member().role().equals(Roles.CONTROLLER)) {
+                take(change.member(), change.after());
+            }
+        }
+    }
+
+    /** The end of a process says nothing of the one that has its address now. */
+    private void take(MemberInfo member, MemberState state) {
+        long process = member.incarnationOfProcess();
+        Belief before = byAddress.get(member.address());
+        if (!state.live() && before != null && before.process != process) {
+            return;
+        }
+        byAddress.put(member.address(), new Belief(process, state));
+        if (byAddress.size() > MOST) {
+            byAddress.remove(byAddress.keySet().iterator().next());
+        }
+    }
+
+    /** What is believed of the process at the address, or null where nothing or another one is known there. */
+    MemberState stateOf(String address, String incarnation) {
+        Belief belief = byAddress.get(address);
+        return belief != null && Incarnations.text(belief.process).equals(incarnation) ? belief.state : null;
+    }
+
+    /** Whether the last process that was heard of at the address died or left. */
+    boolean hasEnded(String address) {
+        Belief belief = byAddress.get(address);
+        return belief != null && !belief.state.live();
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -7,7 +7,6 @@
 import burlarch.fleet.controller.state.StateChanges;
 import burlarch.fleet.controller.state.SystemState;
 import burlarch.transport.NodeLoop;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
@@ -18,8 +17,6 @@
  */
 final class OwnershipKeeper {
     private static final long PERIOD_NANOS = 200_000_000;
-    /** A controller that is out of reach for less may only be slow: its duties stay with it. */
-    private static final long OWNER_LOST_NANOS = 1_000_000_000;
 
     /** Told when the duty begins and ends here. */
     interface Duty {
@@ -31,7 +28,7 @@
 
     private final NodeLoop loop;
     private final StateRegister register;
-    private final ControllerPeers peers;
+    private final OwnerWatch owners;
     private final String key;
     private final String ownAddress;
     private final String holderName;
@@ -46,11 +43,11 @@
     private final long leaseNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
-    OwnershipKeeper(NodeLoop loop, StateRegister register, ControllerPeers peers, String key, String ownAddress,
+    OwnershipKeeper(NodeLoop loop, StateRegister register, OwnerWatch owners, String key, String ownAddress,
             String holderName, long leaseNanos, BooleanSupplier hasWork, Duty duty) {
         this.loop = loop;
         this.register = register;
-        this.peers = peers;
+        this.owners = owners;
         this.key = key;
         this.ownAddress = ownAddress;
         this.holderName = holderName;
@@ -126,20 +123,10 @@
     /** Whether the duty falls to this controller: the owner is lost, and rendezvous over those that live names it. */
     private boolean falls() {
         Lease known = register.known().owners().get(key);
-        if (known != null && ownerLives(known.holder())) {
+        if (known != null && owners.lives(known.holder(), loop.nanoTime())) {
             return false;
         }
-        List<String> live = new ArrayList<>(peers.upAddresses());
-        live.add(ownAddress);
-        return ownAddress.equals(new ShardOwners(live, List.of(key)).ownerOf(key));
-    }
-
-    private boolean ownerLives(String holder) {
-        String address = holder.substring(holder.lastIndexOf('@') + 1);
-        if (address.equals(ownAddress)) {
-            return false;
-        }
-        return peers.isUp(address) || loop.nanoTime() - peers.sinceNanos(address) < OWNER_LOST_NANOS;
+        return ownAddress.equals(new ShardOwners(owners.candidates(), List.of(key)).ownerOf(key));
     }
 
     private void claim() {
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/node/Membership.java
@@ -0,0 +1,217 @@
+package burlarch.fleet.node;
+
+import burlarch.coordination.membership.MemberChange;
+import burlarch.coordination.membership.MemberInfo;
+import burlarch.coordination.membership.MemberState;
+import burlarch.coordination.membership.Swim;
+import burlarch.coordination.membership.SwimSettings;
+import burlarch.coordination.membership.SwimStep;
+import burlarch.transport.DatagramEndpoint;
+import burlarch.transport.NodeLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.tinylog.Logger;
+
+/**
+ * {@link Swim} on a port for datagrams: moves its messages, keeps its one timer and tells of changes. Lives on
+ * the loop; methods are to be called there unless they say otherwise.
+ */
+public final class Membership implements AutoCloseable {
+    /** Addresses kept ready for sending; beyond it they are made anew. */
+    private static final int MOST_SOCKETS = 4_096;
+    private static final long LEAVE_MILLIS = 300;
+
+    private final NodeLoop loop;
+    private final DatagramEndpoint endpoint;
+    private final Swim swim;
+    private final List<Listener> listeners = new ArrayList<>();
+    private final Map<String, InetSocketAddress> sockets = new HashMap<>();
+    private NodeLoop.Timer timer;
+    private long timerAt;
+    private boolean started;
+    private boolean closed;
+
+    /**
+     * Who this process is among the members.
+     *
+     * @param process drawn anew at each start, never 0
+     */
+    public record Self(String name, String role, String zone, long process) {
+    }
+
+    /** Told on the loop. */
+    public interface Listener {
+        /** What one message or timer led to, in its order; never empty. */
+        void onChanges(List<MemberChange> changes);
+    }
+
+    /**
+     * Binds the port; nothing is sent and nothing taken in before {@link #start()}.
+     *
+     * @param bind where datagrams are taken
+     * @param seeds addresses at which other members may be, IP:PORT
+     * @throws IOException where the address cannot be bound
+     */
+    public Membership(NodeLoop loop, Self self, InetSocketAddress bind, List<String> seeds,
+            SwimSettings settings) throws IOException {
+        this.loop = loop;
+        endpoint = new DatagramEndpoint(loop, bind, this::onDatagram);
+        MemberInfo own = new MemberInfo(self.name(), text(endpoint.address()), self.role(), self.zone(),
+                self.process());
+        swim = new Swim(own, seeds, settings, self.process(), loop.nanoTime());
+    }
+
+    /** Told from now on. */
+    public void addListener(Listener listener) {
+        listeners.add(listener);
+    }
+
+    /** Begins to look for the others; from any thread. */
+    public void start() {
+        loop.execute(() -> {
+            started = true;
+            onTimer();
+        });
+    }
+
+    /** Where other members reach this one, IP:PORT; from any thread. */
+    public String address() {
+        return swim.own().address();
+    }
+
+    /** Whether any other member was heard of. */
+    public boolean joined() {
+        return swim.joined();
+    }
+
+    /** The live members without this one, in no order. */
+    public List<MemberInfo> members() {
+        return swim.members();
+    }
+
+    /** What is believed of the member, or null where it isn't known. */
+    public MemberState stateOf(String name) {
+        return swim.stateOf(name);
+    }
+
+    /** Tells some others that this process goes, and ends; from any thread. Done when that has been sent. */
+    public CompletableFuture<Void> leave() {
+        CompletableFuture<Void> sent = new CompletableFuture<>();
+        loop.execute(() -> {
+            if (!closed) {
+                handle(swim.leave(loop.nanoTime()));
+                close();
+            }
+            sent.complete(null);
+        });
+        return sent;
+    }
+
+    /** {@link #leave()}, waited for a short time; not to be called on the loop. */
+    public void leaveInTime() {
+        try {
+            leave().get(LEAVE_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            Logger.debug("others were not told that this process goes");
+        }
+    }
+
+    /** Addresses of those with this role that joined the live ones by the changes. */
+    public static List<String> appeared(List<MemberChange> changes, String role) {
+        List<String> addresses = new ArrayList<>(0);
+        for (MemberChange change : changes) {
+            if (change.appeared() && change.member().role().equals(role)) {
+                addresses.add(change.member().address());
+            }
+        }
+        return addresses;
+    }
+
+    /** Ends without a word, so that the others find out; from any thread. */
+    @Override
+    public void close() {
+        endpoint.close();
+        if (loop.inLoop()) {
+            stopTimer();
+        } else {
+            loop.execute(this::stopTimer);
+        }
+    }
+
+    private void stopTimer() {
+        closed = true;
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
+    private void onDatagram(InetSocketAddress from, byte[] content) {
+        if (started && !closed) {
+            handle(swim.onDatagram(text(from), content, loop.nanoTime()));
+        }
+    }
+
+    private void onTimer() {
+        timer = null;
+        if (!closed) {
+            handle(swim.onTimer(loop.nanoTime()));
+        }
+    }
+
+    private void handle(SwimStep step) {
+        wakeUpAt(step.wakeUpAt());
+        for (SwimStep.Datagram datagram : step.datagrams()) {
+            endpoint.send(socket(datagram.to()), datagram.bytes());
+        }
+        if (!step.changes().isEmpty()) {
+            step.changes().forEach(Membership::log);
+            listeners.forEach(listener -> listener.onChanges(step.changes()));
+        }
+    }
+
+    private void wakeUpAt(long due) {
+        if (timer != null) {
+            if (timerAt == due) {
+                return;
+            }
+            timer.cancel();
+        }
+        timerAt = due;
+        timer = loop.schedule(due - loop.nanoTime(), this::onTimer);
+    }
+
+    private InetSocketAddress socket(String address) {
+        InetSocketAddress known = sockets.get(address);
+        if (known == null) {
+            if (sockets.size() >= MOST_SOCKETS) {
+                sockets.clear();
+            }
+            known = NodeAddresses.socket(address);
+            sockets.put(address, known);
+        }
+        return known;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private static void log(MemberChange change) {
+        MemberInfo member = change.member();
+        if (member.role().equals(Roles.CONTROLLER)) {
+            Logger.info("{} {} at {}: {}", member.role(), member.name(), member.address(), change.after());
+        } else {
+            Logger.debug("{} {} at {}: {}", member.role(), member.name(), member.address(), change.after());
+        }
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -32,6 +32,7 @@
 
         void onInstances(InstanceViews views);
 
+        /** Controllers tell how many routers are connected with them. */
         void onRouters(int live);
     }
 
@@ -53,7 +54,8 @@
         learn(seeds);
     }
 
-    private void learn(Collection<String> addresses) {
+    /** Connects to those that were not known. */
+    void learn(Collection<String> addresses) {
         for (String address : addresses) {
             if (controllers.size() < MOST_CONTROLLERS && controllers.add(address)) {
                 transport.connect(Addresses.parse(address));
@@ -61,6 +63,11 @@
         }
     }
 
+    /** Whether more than half of the controllers that are known were heard within the time of a silence. */
+    boolean reachesMostControllers() {
+        return 2 * routersSeen.size() > controllers.size();
+    }
+
     /** Whether a configuration is in force and instances were told: requests can be served. */
     boolean isInformed() {
         return version > 0 && toldInstances;
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -4,12 +4,16 @@
 import burlarch.configuration.ConfigurationDocument;
 import burlarch.configuration.IndexedRouteTable;
 import burlarch.configuration.InvalidConfiguration;
+import burlarch.coordination.budget.BudgetSettings;
+import burlarch.coordination.membership.SwimSettings;
 import burlarch.coordination.registry.InstanceViews;
 import burlarch.fleet.engine.EngineClient;
 import burlarch.fleet.engine.EventFollower;
+import burlarch.fleet.node.Membership;
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeBounds;
 import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.node.Roles;
 import burlarch.fleet.node.Shutdown;
 import burlarch.routing.FleetPlanner;
 import burlarch.routing.Planner;
@@ -17,6 +21,8 @@
 import burlarch.transport.NodeLoop;
 import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeTransport;
+import java.io.IOException;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +30,6 @@
 
 /** A router: takes requests of clients and sends each to an instance. */
 public final class RouterProgram {
-    private static final String ROLE = "router";
     private static final double NANOS_A_SECOND = 1e9;
 
     private RouterProgram() {
@@ -42,17 +47,46 @@
         EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()),
                 new IndexFeed(planner, lock), server.delays(), System::nanoTime,
                 () -> ThreadLocalRandom.current().nextDouble());
-        ControllerLinks links = new ControllerLinks(
-                new InForce(planner, lock, server, new FollowedSources(settings.nodeName(), follower)));
-        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ROLE, NodeAddresses.own(settings),
-                settings.zone(), "", UUID.randomUUID().toString());
-        NodeTransport transport = new NodeTransport(loop, hello,
-                NodeAddresses.socket(NodeAddresses.own(settings)), links);
-        loop.execute(() -> links.start(transport, NodeAddresses.seeds(settings)));
-        Shutdown.onSignal(() -> server.drain().join());
+        FollowedSources sources = new FollowedSources(settings.nodeName(), follower);
+        FleetSize size = new FleetSize(loop, new RouterCount(
+                BudgetSettings.forWindow(settings.bounds().budgetWindowNanos()), settings.bootstrap(),
+                loop.nanoTime()), sharers -> tellPlanner(planner, lock, sharers), sources::onRouters);
+        ControllerLinks links = new ControllerLinks(new InForce(planner, lock, server, sources, size));
+        Membership membership = join(settings, loop, links, size);
+        Shutdown.onSignal(() -> {
+            server.drain().join();
+            membership.leaveInTime();
+        });
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().front());
     }
 
+    /** Connects with the controllers and joins the members. */
+    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links, FleetSize size)
+            throws IOException {
+        String address = NodeAddresses.own(settings);
+        List<String> seeds = NodeAddresses.seeds(settings);
+        UUID incarnation = UUID.randomUUID();
+        NodeTransport transport = new NodeTransport(loop, new NodeMessage.Hello(settings.nodeName(), Roles.ROUTER,
+                address, settings.zone(), "", incarnation.toString()), NodeAddresses.socket(address), links);
+        Membership membership = new Membership(loop, new Membership.Self(settings.nodeName(), Roles.ROUTER,
+                settings.zone(), incarnation.getLeastSignificantBits()), NodeAddresses.socket(address), seeds,
+                SwimSettings.defaults());
+        loop.execute(() -> {
+            links.start(transport, seeds);
+            size.start(links::reachesMostControllers);
+            membership.addListener(size);
+            membership.addListener(changes -> links.learn(Membership.appeared(changes, Roles.CONTROLLER)));
+            membership.start();
+        });
+        return membership;
+    }
+
+    private static void tellPlanner(Planner planner, Object lock, int routers) {
+        synchronized (lock) {
+            planner.onRouters(routers, System.nanoTime());
+        }
+    }
+
     private static PlannerSettings plannerSettings(NodeSettings settings) {
         NodeBounds bounds = settings.bounds();
         return PlannerSettings.of(settings.zone(), settings.zones(), bounds.retryBudget(),
@@ -66,11 +100,14 @@
         private final Object lock;
         private final RouterServer server;
         private final FollowedSources sources;
+        private final FleetSize size;
         private boolean configured;
         private boolean instancesTold;
 
-        InForce(Planner planner, Object lock, RouterServer server, FollowedSources sources) {
+        InForce(Planner planner, Object lock, RouterServer server, FollowedSources sources,
+                FleetSize size) {
             this.sources = sources;
+            this.size = size;
             this.planner = planner;
             this.lock = lock;
             this.server = server;
@@ -103,10 +140,7 @@
 
         @Override
         public void onRouters(int live) {
-            synchronized (lock) {
-                planner.onRouters(live, System.nanoTime());
-            }
-            sources.onRouters(live);
+            size.onTold(live);
         }
 
         private void becomeReady() {
