--- a/fleet/src/main/java/burlarch/fleet/controller/KnownControllers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/KnownControllers.java
@@ -45,9 +45,9 @@
         return belief != null && Incarnations.text(belief.process).equals(incarnation) ? belief.state : null;
     }
 
-    /** Whether the last process that was heard of at the address died or left. */
-    boolean hasEnded(String address) {
+    /** Whether the last process that was heard of at the address said that it goes. */
+    boolean hasLeft(String address) {
         Belief belief = byAddress.get(address);
-        return belief != null && !belief.state.live();
+        return belief != null && belief.state == MemberState.LEFT;
     }
 }
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
@@ -5,14 +5,13 @@
 import java.util.List;
 
 /**
- * Whether the owner of a duty still lives: by what membership believes of it, and by the connection of this process.
- * Lives on the loop.
+ * Whether the owner of a duty still lives. What left is gone, and what membership holds dead once this process can't
+ * reach it either. That routers still vouch for an owner counts for nothing: cut off from the other controllers it has
+ * no quorum and can't act. Lives on the loop.
  */
 final class OwnerWatch {
     /** A controller that is out of reach for less may only be slow: its duties stay with it. */
     private static final long LOST_NANOS = 1_000_000_000;
-    /** One that others still reach, maybe routers only, keeps its duties for longer; without a quorum it is idle. */
-    private static final long UNREACHED_NANOS = 3_000_000_000L;
 
     private final ControllerPeers peers;
     private final KnownControllers controllers;
@@ -38,20 +37,19 @@
         }
         String incarnation = Incarnations.ofProcessName(holder.substring(0, at));
         MemberState state = controllers.stateOf(address, incarnation);
-        if (state != null && !state.live()) {
+        if (state == MemberState.LEFT) {
             return false;
         }
         if (peers.isUp(address)) {
             return incarnation.equals(peers.incarnation(address));
         }
-        long limit = state == MemberState.ALIVE ? UNREACHED_NANOS : LOST_NANOS;
-        return now - peers.sinceNanos(address) < limit;
+        return state != MemberState.DEAD && now - peers.sinceNanos(address) < LOST_NANOS;
     }
 
     /** Addresses of those that can take a duty, this process included. */
     List<String> candidates() {
         List<String> live = new ArrayList<>(peers.upAddresses());
-        live.removeIf(controllers::hasEnded);
+        live.removeIf(controllers::hasLeft);
         live.add(ownAddress);
         return live;
     }
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/controller/KnownControllersTest.java
@@ -0,0 +1,62 @@
+package burlarch.fleet.controller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.coordination.membership.MemberChange;
+import burlarch.coordination.membership.MemberInfo;
+import burlarch.coordination.membership.MemberState;
+import burlarch.fleet.node.Roles;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Beliefs belong to processes; addresses pass from one to the next. */
+class KnownControllersTest {
+    private static final String ADDRESS = "10.0.0.1:9000";
+
+    private final KnownControllers controllers = new KnownControllers();
+
+    private void hear(String name, long process, MemberState state) {
+        MemberInfo member = new MemberInfo(name, ADDRESS, Roles.CONTROLLER, "zone", process);
+        controllers.onChanges(List.of(new MemberChange(member, null, state)));
+    }
+
+    private MemberState stateOf(long process) {
+        return controllers.stateOf(ADDRESS, Incarnations.text(process));
+    }
+
+    @Test
+    void knowsTheProcessAtAnAddress() {
+        assertThat(stateOf(1)).isNull();
+        hear("core", 1, MemberState.ALIVE);
+        hear("core", 1, MemberState.SUSPECT);
+        assertThat(stateOf(1)).isEqualTo(MemberState.SUSPECT);
+        assertThat(stateOf(2)).isNull();
+        hear("core", 1, MemberState.DEAD);
+        assertThat(stateOf(1)).isEqualTo(MemberState.DEAD);
+        assertThat(controllers.hasLeft(ADDRESS)).as("it may come back").isFalse();
+        hear("core", 1, MemberState.LEFT);
+        assertThat(controllers.hasLeft(ADDRESS)).isTrue();
+    }
+
+    @Test
+    void theEndOfAProcessSaysNothingOfItsSuccessor() {
+        hear("core", 1, MemberState.ALIVE);
+        hear("other", 2, MemberState.ALIVE);
+        hear("core", 1, MemberState.LEFT);
+        assertThat(stateOf(2)).isEqualTo(MemberState.ALIVE);
+        assertThat(controllers.hasLeft(ADDRESS)).isFalse();
+    }
+
+    @Test
+    void routersAreNoControllers() {
+        MemberInfo router = new MemberInfo("edge", ADDRESS, Roles.ROUTER, "zone", 3);
+        controllers.onChanges(List.of(new MemberChange(router, MemberState.ALIVE, MemberState.LEFT)));
+        assertThat(controllers.hasLeft(ADDRESS)).isFalse();
+    }
+
+    @Test
+    void theIncarnationStandsInTheNameOfAProcess() {
+        String name = Incarnations.processName("core-hall-1", Incarnations.text(-1));
+        assertThat(Incarnations.ofProcessName(name)).isEqualTo(Incarnations.text(-1));
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/router/RouterCountTest.java
@@ -0,0 +1,94 @@
+package burlarch.fleet.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.coordination.budget.BudgetSettings;
+import burlarch.coordination.membership.MemberChange;
+import burlarch.coordination.membership.MemberInfo;
+import burlarch.coordination.membership.MemberState;
+import burlarch.fleet.node.Roles;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** With a window of 10 s: contact holds for 5 s, news spreads within 2 s, a full share comes after 17 s. */
+class RouterCountTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final BudgetSettings SETTINGS = BudgetSettings.forWindow(10 * SECOND);
+    private static final int NEW_ONES = SETTINGS.unsettledRouters();
+
+    private static MemberChange change(String role, long process, MemberState before, MemberState after) {
+        return new MemberChange(new MemberInfo(role + process, "10.0.0.1:9000", role, "zone", process), before, after);
+    }
+
+    private static void appear(RouterCount count, int from, int to, long now) {
+        for (int process = from; process <= to; process++) {
+            count.onChanges(List.of(change(Roles.ROUTER, process, null, MemberState.ALIVE)), now);
+        }
+    }
+
+    private static void inContact(RouterCount count, long from, long to) {
+        for (long now = from; now <= to; now += SECOND / 2) {
+            count.onContact(now);
+        }
+    }
+
+    @Test
+    void countsWhatControllersTellUntilMembersAreKnown() {
+        RouterCount count = new RouterCount(SETTINGS, true, 0);
+        assertThat(count.live(0)).isEqualTo(1);
+        count.onTold(12);
+        assertThat(count.live(0)).isEqualTo(12);
+        appear(count, 1, 3, 0);
+        assertThat(count.live(0)).as("not all may have been met").isEqualTo(12);
+        inContact(count, 0, 5 * SECOND);
+        assertThat(count.live(5 * SECOND)).isEqualTo(4);
+    }
+
+    @Test
+    void countsNeitherControllersNorTheDeadNorOneProcessTwice() {
+        RouterCount count = new RouterCount(SETTINGS, true, 0);
+        inContact(count, 0, 5 * SECOND);
+        appear(count, 1, 3, 0);
+        count.onChanges(List.of(change(Roles.CONTROLLER, 9, null, MemberState.ALIVE),
+                change(Roles.ROUTER, 1, MemberState.ALIVE, MemberState.SUSPECT)), SECOND);
+        assertThat(count.live(5 * SECOND)).isEqualTo(4);
+        count.onChanges(List.of(change(Roles.ROUTER, 1, MemberState.SUSPECT, MemberState.DEAD),
+                change(Roles.ROUTER, 2, MemberState.ALIVE, MemberState.LEFT)), SECOND);
+        assertThat(count.live(5 * SECOND)).isEqualTo(2);
+    }
+
+    @Test
+    void atItsStartARouterSharesWithAsManyNewOnesAsTheBudgetBears() {
+        RouterCount count = new RouterCount(SETTINGS, false, 0);
+        assertThat(count.sharers(0)).isEqualTo(NEW_ONES);
+        inContact(count, 0, 3 * SECOND);
+        appear(count, 1, 1, 0);
+        assertThat(count.sharers(SECOND)).isEqualTo(NEW_ONES);
+        assertThat(count.sharers(3 * SECOND)).isEqualTo(2);
+        appear(count, 2, 20, SECOND);
+        assertThat(count.sharers(SECOND)).isEqualTo(21);
+    }
+
+    @Test
+    void oneThatIsNewOrCutOffSharesWithAllItMetLately() {
+        RouterCount count = new RouterCount(SETTINGS, false, 0);
+        inContact(count, 0, 18 * SECOND);
+        appear(count, 1, 9, 0);
+        assertThat(count.sharers(18 * SECOND)).isEqualTo(10);
+        for (int process = 1; process <= 9; process++) {
+            count.onChanges(List.of(change(Roles.ROUTER, process, MemberState.SUSPECT, MemberState.DEAD)),
+                    22 * SECOND);
+        }
+        assertThat(count.sharers(24 * SECOND)).isEqualTo(10);
+        assertThat(count.live(24 * SECOND)).isEqualTo(1);
+    }
+
+    @Test
+    void oneInContactSharesWithThoseThatLive() {
+        RouterCount count = new RouterCount(SETTINGS, false, 0);
+        inContact(count, 0, 18 * SECOND);
+        appear(count, 1, 9, 0);
+        count.onChanges(List.of(change(Roles.ROUTER, 4, MemberState.SUSPECT, MemberState.DEAD)), 18 * SECOND);
+        assertThat(count.sharers(18 * SECOND)).isEqualTo(9);
+    }
+}
