--- a/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
@@ -10,7 +10,10 @@
  * no quorum and can't act. Lives on the loop.
  */
 final class OwnerWatch {
-    /** A controller that is out of reach for less may only be slow: its duties stay with it. */
+    /**
+     * A controller that is out of reach for less may only be slow: its duties stay with it. One that was restarted
+     * loses them this long after it is back, when those that start together have all met.
+     */
     private static final long LOST_NANOS = 1_000_000_000;
 
     private final ControllerPeers peers;
@@ -40,10 +43,11 @@
         if (state == MemberState.LEFT) {
             return false;
         }
+        boolean lately = now - peers.sinceNanos(address) < LOST_NANOS;
         if (peers.isUp(address)) {
-            return incarnation.equals(peers.incarnation(address));
+            return lately || incarnation.equals(peers.incarnation(address));
         }
-        return state != MemberState.DEAD && now - peers.sinceNanos(address) < LOST_NANOS;
+        return lately && state != MemberState.DEAD;
     }
 
     /** Addresses of those that can take a duty, this process included. */
