--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
@@ -103,6 +103,11 @@
         return peer == null ? "" : peer.incarnation;
     }
 
+    /** Whether all controllers that are known can be reached. */
+    boolean allUp() {
+        return upAddresses().size() == peers.size();
+    }
+
     /** Since when that controller is up or down; 0 where it was never heard of. */
     long sinceNanos(String address) {
         Peer peer = peers.get(address);
@@ -138,5 +143,4 @@
         });
         return candidates;
     }
-
 }
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -16,6 +16,7 @@
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeSettings;
 import burlarch.fleet.node.Roles;
+import burlarch.fleet.node.SettingsWatch;
 import burlarch.fleet.node.Shutdown;
 import burlarch.storage.AcceptorStore;
 import burlarch.storage.FolderDisk;
@@ -99,6 +100,7 @@
                 new OwnerWatch(peers, controllers, own.address()), own, proposerName);
         messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
         peers.learn(seeds);
+        SettingsWatch.start(newer -> loop.execute(() -> peers.learn(NodeAddresses.seeds(newer))));
         peers.learn(firstMembers.stream().map(Member::address).toList());
         return new OperatorCalls(loop, register, publisher, instances, settings.faultTolerance().machines());
     }
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
@@ -50,6 +50,11 @@
         return lately && state != MemberState.DEAD;
     }
 
+    /** Whether all controllers that are known can be reached. */
+    boolean allUp() {
+        return peers.allUp();
+    }
+
     /** Addresses of those that can take a duty, this process included. */
     List<String> candidates() {
         List<String> live = new ArrayList<>(peers.upAddresses());
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -17,6 +17,8 @@
  */
 final class OwnershipKeeper {
     private static final long PERIOD_NANOS = 200_000_000;
+    /** For so long after its start a controller may not yet be connected to others that live. */
+    private static final long GATHERING_NANOS = 1_500_000_000;
 
     /** Told when the duty begins and ends here. */
     interface Duty {
@@ -41,6 +43,7 @@
     private long ownerSinceNanos;
     private long ownerToken = -1;
     private final long leaseNanos;
+    private final long startedNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
     OwnershipKeeper(NodeLoop loop, StateRegister register, OwnerWatch owners, String key, String ownAddress,
@@ -55,6 +58,7 @@
         this.lease = new OwnershipLease(holderName, leaseNanos);
         this.hasWork = hasWork;
         this.duty = duty;
+        startedNanos = loop.nanoTime();
         loop.schedule(PERIOD_NANOS, this::check);
     }
 
@@ -123,12 +127,16 @@
     /** Whether the duty falls to this controller: the owner is lost, and rendezvous over those that live names it. */
     private boolean falls() {
         Lease known = register.known().owners().get(key);
-        if (known != null && owners.lives(known.holder(), loop.nanoTime())) {
+        if (known != null && owners.lives(known.holder(), loop.nanoTime()) || isGathering()) {
             return false;
         }
         return ownAddress.equals(new ShardOwners(owners.candidates(), List.of(key)).ownerOf(key));
     }
 
+    private boolean isGathering() {
+        return loop.nanoTime() - startedNanos < GATHERING_NANOS && !owners.allUp();
+    }
+
     private void claim() {
         asking = true;
         lease.claim();
--- a/fleet/src/main/java/burlarch/fleet/router/Headers.java
+++ b/fleet/src/main/java/burlarch/fleet/router/Headers.java
@@ -22,7 +22,8 @@
     static final String RETRY_AFTER = "Retry-After";
 
     /** Headers that concern one connection, in lower case. */
-    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "transfer-encoding", "te",
+    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "transfer-encoding",
+            "te",
             "trailer", "upgrade", "proxy-connection", "proxy-authorization", "proxy-authenticate");
     /** Headers of requests that are the router's to set, or that it has acted on; in lower case. */
     private static final Set<String> OWN = Set.of("content-length", "expect", "x-credential", "x-tenant-id",
@@ -71,6 +72,12 @@
         return value;
     }
 
+    /** Retry-After: seconds with three digits of their fraction. */
+    static String seconds(long millis) {
+        long least = Math.max(1, millis);
+        return least / 1000 + "." + Long.toString(1000 + least % 1000).substring(1);
+    }
+
     /** A decimal number that is not negative, or the given one where the text is none. */
     static long number(String text, long otherwise) {
         if (text == null || text.isEmpty() || text.length() > 18) {
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -14,6 +14,7 @@
 import burlarch.fleet.node.NodeBounds;
 import burlarch.fleet.node.NodeSettings;
 import burlarch.fleet.node.Roles;
+import burlarch.fleet.node.SettingsWatch;
 import burlarch.fleet.node.Shutdown;
 import burlarch.routing.FleetPlanner;
 import burlarch.routing.Planner;
@@ -53,6 +54,7 @@
                 loop.nanoTime()), sharers -> tellPlanner(planner, lock, sharers), sources::onRouters);
         ControllerLinks links = new ControllerLinks(new InForce(planner, lock, server, sources, size));
         Membership membership = join(settings, loop, links, size);
+        SettingsWatch.start(newer -> loop.execute(() -> links.learn(NodeAddresses.seeds(newer))));
         Shutdown.onSignal(() -> {
             server.drain().join();
             membership.leaveInTime();
