--- a/routing/src/main/java/burlarch/routing/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/CostModel.java
@@ -10,20 +10,22 @@
     static final long START_SERVICE_NANOS = 30_000_000L;
     /** Shared tokens that nobody keeps, from which a request is a fetch. Below lie roundings to blocks. */
     static final int FETCH_TOKENS = 64;
-    /** Further tokens that a source has to keep for a move: below, its set-up costs as much as reading. */
-    static final int MOVE_TOKENS = 256;
+    /** Further tokens that a source has to keep for a move. */
+    static final int MOVE_TOKENS = 48;
     /** Set-up of one move. */
     static final long MOVE_SETUP_NANOS = 6_000_000L;
-    /** A move has to take less than this part of what reading would. */
-    static final double MOVE_GAIN = 0.7;
+    /** Shared tokens from which a store is asked though it is not known to keep any. */
+    static final int CHANCE_TOKENS = 256;
+    /** A move that takes longer than reading may take this part of what is left of the aim. */
+    static final double MOVE_OF_AIM = 0.3;
     /** An engine begins no move that waits for more than two seconds; well before that it pays no more. */
     static final long MOVE_LONGEST_NANOS = 1_000_000_000L;
-    /** How many times its own length a move counts: moved memory is priced, waiting within the aim is not. */
-    static final double MOVE_WEIGHT = 2.5;
-    /** The same for reading what others keep, which is priced higher still. */
-    static final double REREAD_WEIGHT = 4;
+    /** How many times its own length a move counts: moved memory is priced a little. */
+    static final double MOVE_WEIGHT = 1.5;
+    /** The same for reading what others keep: it costs a hundred times what moving the same tokens does. */
+    static final double REREAD_WEIGHT = 12;
     /** Shared tokens from which a store's copy is worth its move. */
-    static final int SAVE_TOKENS = 1_000;
+    static final int SAVE_TOKENS = 64;
     /** Counts each nanosecond beyond the aim, on top of itself: late answers lose most of their worth. */
     static final double LATE_WEIGHT = 4;
     /** Counts each nanosecond of waiting for memory, on top: the engine puts running requests back. */
@@ -60,6 +62,13 @@
         return MOVE_SETUP_NANOS + (long) (bits / linkMbps * 1e3 * distance * slowness);
     }
 
+    /** Whether so long a move is better than reading what it brings. */
+    static boolean movePays(double moveNanos, double readNanos, long aimLeftNanos) {
+        return moveNanos < MOVE_LONGEST_NANOS
+                && moveNanos < Math.max(readNanos, MOVE_OF_AIM * aimLeftNanos)
+                && moveNanos * MOVE_WEIGHT < readNanos * REREAD_WEIGHT;
+    }
+
     /** What a first event that comes so late costs, against one that comes at once. */
     static double firstEventCost(double predictedNanos, long aimLeftNanos) {
         return predictedNanos + LATE_WEIGHT * Math.max(0, predictedNanos - Math.max(0, aimLeftNanos));
--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -45,7 +45,7 @@
     public FleetPlanner(PlannerSettings settings) {
         this.settings = settings;
         this.moves = new Moves(settings, index);
-        this.prompts = new PromptScheduler(settings, index);
+        this.prompts = new PromptScheduler(settings, index, moves);
         this.plain = new PlainScheduler(settings);
         this.flights = new FlightLog(index, moves, history);
     }
--- a/routing/src/main/java/burlarch/routing/FlightLog.java
+++ b/routing/src/main/java/burlarch/routing/FlightLog.java
@@ -11,8 +11,6 @@
     private static final int MOST_PREPARED = 256;
     /** Part of the aim, beyond what a request alone needs, after which its silence tells of a queue. */
     private static final double PATIENCE = 0.4;
-    /** Shorter moves are counted as this long: their lateness is mostly noise. */
-    private static final double LEAST_MOVE_NANOS = 5e6;
 
     private final PromptIndex index;
     private final Moves moves;
@@ -98,6 +96,7 @@
         engine.health.onAlive();
         double elapsed = nowNanos - flight.sentNanos;
         double waited = Math.max(0, elapsed - flight.ownNanos());
+        double othersWaited = engine.load.waitNanos(nowNanos);
         engine.load.onWaited(waited, nowNanos);
         if (flight.fetch) {
             double aim = Math.max(1, request.route().targetLatencyMillis() * 1e6);
@@ -105,7 +104,7 @@
             flight.service.admission.onOutcome(flight.sentNanos, strain, true, nowNanos);
         }
         if (send.kvFetch() != null) {
-            learnMove(flight, send.kvFetch(), elapsed, nowNanos);
+            learnMove(flight, send.kvFetch(), elapsed - flight.ownNanos() - othersWaited, nowNanos);
         } else if (flight.alone) {
             engine.speed.onFirstEvent(flight.tokensToRead, elapsed);
         }
@@ -114,13 +113,11 @@
         }
     }
 
-    private void learnMove(Flight flight, String address, double elapsed, long nowNanos) {
+    /** Lateness beyond reading what should have come is not explained by a source that lacked it. */
+    private void learnMove(Flight flight, String address, double late, long nowNanos) {
         if (flight.alone) {
-            double late = elapsed - flight.ownNanos();
-            moves.onMoved(address, late, nowNanos);
-            double slowness = flight.service.slowness(nowNanos);
-            double nominal = Math.max(LEAST_MOVE_NANOS, flight.moveNanos / slowness);
-            flight.service.onMoved((flight.moveNanos + late) / nominal, nowNanos);
+            moves.onMoved(address, late - flight.engine.speed.readNanos(flight.tokensToMove), nowNanos);
+            flight.engine.moves.onMoved(flight.moveNanos, late, nowNanos);
         }
     }
 
--- a/routing/src/main/java/burlarch/routing/Moves.java
+++ b/routing/src/main/java/burlarch/routing/Moves.java
@@ -2,7 +2,6 @@
 
 import burlarch.configuration.Configuration.Service;
 import burlarch.routing.RouteRequest.PromptPart;
-import burlarch.routing.index.PartTable;
 import burlarch.routing.index.PromptIndex;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,13 +10,11 @@
 
 /** Which kept parts are moved between engines and stores. */
 final class Moves {
-    /** Shared parts whose last use is remembered, to save only what is read again. */
-    private static final int SEEN_PARTS = 4_096;
-    private static final long SEEN_TICK_NANOS = 1_000_000_000L;
-    private static final int SEEN_TICKS = 60;
-    /** A source from which a move took this much longer than it should may be dead, for so long. */
+    /** A source from which so many moves in turn took this much longer than they should is taken for dead. */
     private static final long DEAD_NANOS = 150_000_000L;
+    private static final int DEAD_MOVES = 2;
     private static final long SUSPECT_NANOS = 3_000_000_000L;
+    private static final int MOST_LATE = 256;
 
     /** A source that was found. {@code gained} tokens beyond those that the engine keeps itself. */
     record Source(String address, int gained, long nanos) {
@@ -26,7 +23,7 @@
     private final PlannerSettings settings;
     private final PromptIndex index;
     private final List<Service> stores = new ArrayList<>();
-    private final PartTable seen = new PartTable(SEEN_PARTS, Long.MAX_VALUE);
+    private final Map<String, Integer> late = new HashMap<>();
     private final Map<String, Long> suspectUntil = new HashMap<>();
 
     Moves(PlannerSettings settings, PromptIndex index) {
@@ -61,6 +58,7 @@
                 || parts.isEmpty() || choice.engine.version(request.model()) == 0) {
             return null;
         }
+        long aimLeft = CostModel.aimLeftNanos(request, nowNanos);
         Source best = null;
         double bestGain = 0;
         for (int i = 0; i < stores.size() + service.engines.size(); i++) {
@@ -72,13 +70,34 @@
                 continue;
             }
             double read = choice.engine.speed.readNanos(source.gained());
-            if (source.nanos() < Math.min(CostModel.MOVE_LONGEST_NANOS, CostModel.MOVE_GAIN * read)
-                    && read - source.nanos() > bestGain) {
+            double gain = read * CostModel.REREAD_WEIGHT - source.nanos() * CostModel.MOVE_WEIGHT;
+            if (gain > bestGain && CostModel.movePays(source.nanos(), read, aimLeft)) {
                 best = source;
-                bestGain = read - source.nanos();
+                bestGain = gain;
             }
         }
-        return best;
+        return best == null ? byChance(parts, nowNanos) : best;
+    }
+
+    /** A store that may have got the parts just now, or whose events went missing: a miss costs next to nothing. */
+    private Source byChance(List<PromptPart> parts, long nowNanos) {
+        if (PromptScheduler.sharedTokens(parts) >= CostModel.CHANCE_TOKENS) {
+            for (int i = 0; i < stores.size(); i++) {
+                if (index.size(stores.get(i).name()) > 0 && !isSuspect(stores.get(i).kvStore(), nowNanos)) {
+                    return new Source(stores.get(i).kvStore(), 0, 0);
+                }
+            }
+        }
+        return null;
+    }
+
+    /** Tokens of the shared parts that some store keeps under the salt. */
+    int storedTokens(long salt, List<PromptPart> parts, long nowNanos) {
+        int most = 0;
+        for (int i = 0; i < stores.size(); i++) {
+            most = Math.max(most, index.confirmedPrefixTokens(stores.get(i).name(), salt, parts, nowNanos));
+        }
+        return most;
     }
 
     private Source fromStore(Service store, ServiceState service, Choice choice, long salt,
@@ -107,7 +126,7 @@
         }
         double distance = settings.distance(zone, choice.engine.instance().zone());
         return new Source(address, gained, CostModel.moveNanos(gained, service.tokenBytes(), link, distance,
-                service.slowness(nowNanos)));
+                choice.engine.moves.slowness(nowNanos)));
     }
 
     /** Address of the store that is to get the shared parts: those that are read again and it lacks. */
@@ -118,9 +137,6 @@
             return null;
         }
         long saltHash = CacheSalt.hash(salt);
-        if (!seenBefore(saltHash, parts.get(parts.size() - 2).id(), nowNanos)) {
-            return null;
-        }
         List<PromptPart> sharedParts = parts.subList(0, parts.size() - 1);
         Service nearest = null;
         for (int i = 0; i < stores.size(); i++) {
@@ -145,18 +161,18 @@
         }
     }
 
-    private boolean seenBefore(long saltHash, long part, long nowNanos) {
-        long key = CacheSalt.key(saltHash, part);
-        int now = (int) (nowNanos / SEEN_TICK_NANOS);
-        boolean before = seen.tokens(key) > 0 && now - seen.touchedAt(key) <= SEEN_TICKS;
-        seen.put(key, 1, (short) 0, now, false);
-        return before;
-    }
-
-    /** A move from that address ended so much later than it should have. */
+    /** A move from that address ended so much later than it should have, even if it brought nothing. */
     void onMoved(String address, double lateNanos, long nowNanos) {
-        suspectUntil.values().removeIf(until -> until - nowNanos < 0);
-        if (lateNanos > DEAD_NANOS) {
+        if (lateNanos <= DEAD_NANOS) {
+            late.remove(address);
+            return;
+        }
+        if (late.size() >= MOST_LATE) {
+            late.clear();
+        }
+        if (late.merge(address, 1, Integer::sum) >= DEAD_MOVES) {
+            late.remove(address);
+            suspectUntil.values().removeIf(until -> until - nowNanos < 0);
             suspectUntil.put(address, nowNanos + SUSPECT_NANOS);
         }
     }
--- a/routing/src/main/java/burlarch/routing/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/PromptScheduler.java
@@ -2,6 +2,7 @@
 
 import burlarch.routing.RouteRequest.PromptPart;
 import burlarch.routing.index.PromptIndex;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -11,14 +12,19 @@
 final class PromptScheduler {
     private final PlannerSettings settings;
     private final PromptIndex index;
+    private final Moves moves;
     private final Choice choice = new Choice();
     private int[] kept = new int[16];
+    /** Tokens that anyone keeps under the salt of each candidate. */
+    private int[] known = new int[16];
+    private long[] salted = new long[16];
     private double[] predicted = new double[16];
     private double[] cost = new double[16];
 
-    PromptScheduler(PlannerSettings settings, PromptIndex index) {
+    PromptScheduler(PlannerSettings settings, PromptIndex index, Moves moves) {
         this.settings = settings;
         this.index = index;
+        this.moves = moves;
     }
 
     /** The best of the candidates, of which there is at least one. */
@@ -33,11 +39,12 @@
             kept[i] = parts.isEmpty() ? 0 : keptTokens(candidates.get(i), salts, parts, nowNanos);
             best = Math.max(best, kept[i]);
         }
+        int known = lookUpKnown(candidates, salts, parts, nowNanos);
         for (int i = 0; i < size; i++) {
-            weigh(request, service, candidates.get(i), i, best, nowNanos);
+            weigh(request, service, candidates.get(i), i, nowNanos);
         }
         boolean fetch = shared - Math.min(best, shared) >= CostModel.FETCH_TOKENS;
-        int chosen = fetch ? byRendezvous(request, candidates) : cheapest(size);
+        int chosen = fetch ? byRendezvous(placementKey(request, known), candidates) : cheapest(size);
         choice.engine = candidates.get(chosen);
         choice.kept = kept[chosen];
         choice.predictedNanos = predicted[chosen];
@@ -45,6 +52,34 @@
         return choice;
     }
 
+    /** Fills in what anyone keeps under each candidate's salt, and returns the most of it. */
+    private int lookUpKnown(List<Engine> candidates, Salts salts, List<PromptPart> parts, long nowNanos) {
+        int most = 0;
+        int size = parts.isEmpty() ? 0 : candidates.size();
+        Arrays.fill(known, 0, candidates.size(), 0);
+        for (int i = 0; i < size; i++) {
+            salted[i] = salts.hash(candidates.get(i));
+            int before = 0;
+            while (salted[before] != salted[i]) {
+                before++;
+            }
+            if (before == i) {
+                known[i] = Math.max(kept[i], moves.storedTokens(salted[i], parts, nowNanos));
+            } else {
+                known[before] = Math.max(known[before], kept[i]);
+            }
+            most = Math.max(most, known[before]);
+        }
+        for (int i = 0; i < size; i++) {
+            int first = 0;
+            while (salted[first] != salted[i]) {
+                first++;
+            }
+            known[i] = known[first];
+        }
+        return most;
+    }
+
     /** Tokens of all parts but the last, which is the request's or its session's own. */
     static int sharedTokens(List<PromptPart> parts) {
         int sum = 0;
@@ -72,13 +107,12 @@
         return index.isUncertain(engine.id) ? (int) (tokens * CostModel.UNCERTAIN) : tokens;
     }
 
-    private void weigh(RouteRequest request, ServiceState service, Engine engine, int i, int best,
-            long nowNanos) {
-        int missing = Math.max(0, best - kept[i]);
+    private void weigh(RouteRequest request, ServiceState service, Engine engine, int i, long nowNanos) {
+        int missing = Math.max(0, known[i] - kept[i]);
         double readMissing = engine.speed.readNanos(missing);
         double move = missing < CostModel.MOVE_TOKENS ? Double.MAX_VALUE : CostModel.moveNanos(missing,
-                service.tokenBytes(), service.linkMbps(), 2, service.slowness(nowNanos));
-        boolean moves = move < CostModel.MOVE_GAIN * readMissing;
+                service.tokenBytes(), service.linkMbps(), 2, engine.moves.slowness(nowNanos));
+        boolean moves = CostModel.movePays(move, readMissing, CostModel.aimLeftNanos(request, nowNanos));
         int toRead = Math.max(0, promptTokens(request) - kept[i] - (moves ? missing : 0));
         double memory = memoryWait(request, service, engine, kept[i], nowNanos);
         double first = engine.speed.baseNanos() + queueNanos(engine, nowNanos) + memory
@@ -121,13 +155,12 @@
     }
 
     /** Highest weight among engines that are not far slower than the best: routers mostly agree on one. */
-    private int byRendezvous(RouteRequest request, List<Engine> candidates) {
+    private int byRendezvous(long key, List<Engine> candidates) {
         int size = candidates.size();
         double bestFirst = Double.MAX_VALUE;
         for (int i = 0; i < size; i++) {
             bestFirst = Math.min(bestFirst, predicted[i]);
         }
-        long key = placementKey(request);
         int chosen = -1;
         long highest = 0;
         for (int i = 0; i < size; i++) {
@@ -141,10 +174,18 @@
         return chosen;
     }
 
-    /** Model, wall and last shared part, whatever the weights: a new version leaves prompts in place. */
-    static long placementKey(RouteRequest request) {
+    /**
+     * Model, wall and the first shared part that nobody keeps, whatever the weights: of requests that share a part
+     * that is not there yet only one engine reads it, and a new version leaves prompts in place.
+     */
+    static long placementKey(RouteRequest request, int known) {
         List<PromptPart> parts = request.parts();
-        long part = parts.size() < 2 ? 0 : parts.get(parts.size() - 2).id();
+        long part = 0;
+        int end = 0;
+        for (int i = 0; i < parts.size() - 1 && (i == 0 || end - known < CostModel.FETCH_TOKENS); i++) {
+            part = parts.get(i).id();
+            end += parts.get(i).tokens();
+        }
         String salt = CacheSalt.of(request.model(), 1, request.tenant(), "");
         return CacheSalt.key(CacheSalt.hash(salt), part);
     }
@@ -152,6 +193,8 @@
     private void ensureRoom(int size) {
         if (kept.length < size) {
             kept = new int[size * 2];
+            known = new int[size * 2];
+            salted = new long[size * 2];
             predicted = new double[size * 2];
             cost = new double[size * 2];
         }
--- a/routing/src/main/java/burlarch/routing/ServiceState.java
+++ b/routing/src/main/java/burlarch/routing/ServiceState.java
@@ -10,10 +10,6 @@
 final class ServiceState {
     private static final double MEAN_GAIN = 0.02;
     private static final double FETCH_GAIN = 0.1;
-    private static final double SLOWNESS_GAIN = 0.3;
-    private static final double MOST_SLOWNESS = 30;
-    /** How long a link that showed slow is taken for slow without new evidence. */
-    private static final double SLOWNESS_FADE_NANOS = 5e9;
 
     private record Seen(long version, long sinceNanos) {
     }
@@ -27,8 +23,6 @@
     private double meanTokensToRead = 1_000;
     private double meanFetchTokens = 2_000;
     private double meanMemoryTokens = 2_000;
-    private double slowness = 1;
-    private long slownessAtNanos;
 
     ServiceState(Service service, RetryBudget budget, Admission admission) {
         this.name = service.name();
@@ -84,19 +78,6 @@
         meanMemoryTokens += (flight.memoryTokens - meanMemoryTokens) * MEAN_GAIN;
     }
 
-    /** How many times longer than its link says a move takes, as the last ones did. */
-    double slowness(long nowNanos) {
-        double fade = Math.max(0, 1 - (nowNanos - slownessAtNanos) / SLOWNESS_FADE_NANOS);
-        return 1 + (slowness - 1) * fade;
-    }
-
-    void onMoved(double ratio, long nowNanos) {
-        double sample = Math.max(1, Math.min(MOST_SLOWNESS, ratio));
-        slowness = slowness(nowNanos);
-        slowness += (sample - slowness) * SLOWNESS_GAIN;
-        slownessAtNanos = nowNanos;
-    }
-
     void onVersion(String model, long version, long nowNanos) {
         Seen seen = newest.get(model);
         if (seen == null || version > seen.version()) {
