--- a/routing/src/main/java/burlarch/routing/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/CostModel.java
@@ -11,7 +11,7 @@
     /** Shared tokens that nobody keeps, from which a request is a fetch. Below lie roundings to blocks. */
     static final int FETCH_TOKENS = 64;
     /** Further tokens that a source has to keep for a move. */
-    static final int MOVE_TOKENS = 48;
+    static final int MOVE_TOKENS = 17;
     /** Set-up of one move. */
     static final long MOVE_SETUP_NANOS = 6_000_000L;
     /** Shared tokens from which a store is asked though it is not known to keep any. */
@@ -23,7 +23,7 @@
     /** How many times its own length a move counts: moved memory is priced a little. */
     static final double MOVE_WEIGHT = 1.5;
     /** The same for reading what others keep: it costs a hundred times what moving the same tokens does. */
-    static final double REREAD_WEIGHT = 12;
+    static final double REREAD_WEIGHT = 20;
     /** Shared tokens from which a store's copy is worth its move. */
     static final int SAVE_TOKENS = 64;
     /** Counts each nanosecond beyond the aim, on top of itself: late answers lose most of their worth. */
@@ -38,8 +38,8 @@
     static final double WARM_UP = 1.5;
     /** What is known of an engine whose events got lost counts for this part. */
     static final double UNCERTAIN = 0.8;
-    /** The next engine by rendezvous is taken where the first is slower than the best by this. */
-    static final long RENDEZVOUS_SLACK_NANOS = 200_000_000L;
+    /** The next engine by rendezvous is taken where the first costs more than the best by this. */
+    static final long RENDEZVOUS_SLACK_NANOS = 100_000_000L;
     /** What one engine counts of its running requests' kept tokens: running requests share them. */
     static final double KEPT_SHARE = 0.5;
     /** Part of the most tokens that a request is taken to put out. */
--- a/routing/src/main/java/burlarch/routing/MoveSpeed.java
+++ b/routing/src/main/java/burlarch/routing/MoveSpeed.java
@@ -5,11 +5,11 @@
     private static final double GAIN = 0.3;
     private static final double MOST_SLOWNESS = 30;
     /** How long a link that showed slow is taken for slow without new evidence. */
-    private static final double FADE_NANOS = 5e9;
+    private static final double FADE_NANOS = 3e9;
     /** Shorter moves tell nothing: their lateness is other work's. */
     private static final double TELLING_NANOS = 15e6;
     /** Lateness that other requests' reading explains. */
-    private static final double TOLERATED_NANOS = 50e6;
+    private static final double TOLERATED_NANOS = 150e6;
 
     private double slowness = 1;
     private long atNanos;
--- a/routing/src/main/java/burlarch/routing/Moves.java
+++ b/routing/src/main/java/burlarch/routing/Moves.java
@@ -11,7 +11,7 @@
 /** Which kept parts are moved between engines and stores. */
 final class Moves {
     /** A source from which so many moves in turn took this much longer than they should is taken for dead. */
-    private static final long DEAD_NANOS = 150_000_000L;
+    private static final long DEAD_NANOS = 200_000_000L;
     private static final int DEAD_MOVES = 2;
     private static final long SUSPECT_NANOS = 3_000_000_000L;
     private static final int MOST_LATE = 256;
--- a/routing/src/main/java/burlarch/routing/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/PromptScheduler.java
@@ -15,8 +15,10 @@
     private final Moves moves;
     private final Choice choice = new Choice();
     private int[] kept = new int[16];
-    /** Tokens that anyone keeps under the salt of each candidate. */
+    /** Tokens that anyone keeps or reads just now under the salt of each candidate. */
     private int[] known = new int[16];
+    /** Those of them that can be moved: what is only just being read can not. */
+    private int[] movable = new int[16];
     private long[] salted = new long[16];
     private double[] predicted = new double[16];
     private double[] cost = new double[16];
@@ -57,6 +59,7 @@
         int most = 0;
         int size = parts.isEmpty() ? 0 : candidates.size();
         Arrays.fill(known, 0, candidates.size(), 0);
+        Arrays.fill(movable, 0, candidates.size(), 0);
         for (int i = 0; i < size; i++) {
             salted[i] = salts.hash(candidates.get(i));
             int before = 0;
@@ -64,10 +67,12 @@
                 before++;
             }
             if (before == i) {
-                known[i] = Math.max(kept[i], moves.storedTokens(salted[i], parts, nowNanos));
-            } else {
-                known[before] = Math.max(known[before], kept[i]);
+                movable[i] = moves.storedTokens(salted[i], parts, nowNanos);
             }
+            int confirmed = kept[i] == 0 ? 0 : Math.min(kept[i],
+                    index.confirmedPrefixTokens(candidates.get(i).id, salted[i], parts, nowNanos));
+            movable[before] = Math.max(movable[before], confirmed);
+            known[before] = Math.max(known[before], Math.max(kept[i], movable[before]));
             most = Math.max(most, known[before]);
         }
         for (int i = 0; i < size; i++) {
@@ -76,6 +81,7 @@
                 first++;
             }
             known[i] = known[first];
+            movable[i] = movable[first];
         }
         return most;
     }
@@ -108,7 +114,7 @@
     }
 
     private void weigh(RouteRequest request, ServiceState service, Engine engine, int i, long nowNanos) {
-        int missing = Math.max(0, known[i] - kept[i]);
+        int missing = Math.max(0, movable[i] - kept[i]);
         double readMissing = engine.speed.readNanos(missing);
         double move = missing < CostModel.MOVE_TOKENS ? Double.MAX_VALUE : CostModel.moveNanos(missing,
                 service.tokenBytes(), service.linkMbps(), 2, engine.moves.slowness(nowNanos));
@@ -118,8 +124,9 @@
         double first = engine.speed.baseNanos() + queueNanos(engine, nowNanos) + memory
                 + engine.speed.readNanos(toRead) + (moves ? move : 0);
         predicted[i] = engine.isWarmingUp() ? first * CostModel.WARM_UP : first;
-        double waste = moves ? move * (CostModel.MOVE_WEIGHT - 1)
-                : readMissing * (CostModel.REREAD_WEIGHT - 1);
+        int again = known[i] - (moves ? Math.max(kept[i], movable[i]) : kept[i]);
+        double waste = engine.speed.readNanos(again) * (CostModel.REREAD_WEIGHT - 1)
+                + (moves ? move * (CostModel.MOVE_WEIGHT - 1) : 0);
         cost[i] = CostModel.firstEventCost(predicted[i], CostModel.aimLeftNanos(request, nowNanos)) + waste
                 + memory * CostModel.MEMORY_WEIGHT
                 + engine.load.requests(nowNanos) * CostModel.RUNNING_NANOS
@@ -154,18 +161,15 @@
         return best;
     }
 
-    /** Highest weight among engines that are not far slower than the best: routers mostly agree on one. */
+    /** Highest weight among engines that cost not far more than the best: routers mostly agree on one. */
     private int byRendezvous(long key, List<Engine> candidates) {
         int size = candidates.size();
-        double bestFirst = Double.MAX_VALUE;
-        for (int i = 0; i < size; i++) {
-            bestFirst = Math.min(bestFirst, predicted[i]);
-        }
+        double least = cost[cheapest(size)];
         int chosen = -1;
         long highest = 0;
         for (int i = 0; i < size; i++) {
             long weight = Rendezvous.weight(key, candidates.get(i).idHash);
-            if (predicted[i] <= bestFirst + CostModel.RENDEZVOUS_SLACK_NANOS
+            if (cost[i] <= least + CostModel.RENDEZVOUS_SLACK_NANOS
                     && (chosen < 0 || Long.compareUnsigned(weight, highest) > 0)) {
                 chosen = i;
                 highest = weight;
@@ -194,6 +198,7 @@
         if (kept.length < size) {
             kept = new int[size * 2];
             known = new int[size * 2];
+            movable = new int[size * 2];
             salted = new long[size * 2];
             predicted = new double[size * 2];
             cost = new double[size * 2];
