--- a/routing/src/main/java/burlarch/routing/Engine.java
+++ b/routing/src/main/java/burlarch/routing/Engine.java
@@ -13,6 +13,7 @@
     final long idHash;
     final Health health = new Health();
     final EngineSpeed speed = new EngineSpeed();
+    final ReadingRate reading = new ReadingRate();
     final MoveSpeed moves = new MoveSpeed();
     final EngineLoad load;
     private final Map<String, Long> versions = new HashMap<>(2);
--- a/routing/src/main/java/burlarch/routing/EngineLoad.java
+++ b/routing/src/main/java/burlarch/routing/EngineLoad.java
@@ -7,14 +7,18 @@
     /** How long a told queue is taken to stand. */
     private static final long QUEUE_NANOS = 1_000_000_000L;
     /** How long a wait that a first event showed counts for, fading evenly. */
-    private static final double WAIT_FADE_NANOS = 2e9;
+    private static final double WAIT_FADE_NANOS = 8e8;
     private static final double WAIT_GAIN = 0.5;
+    private static final double UNREAD_PART = 0.5;
     /** Shorter waits are noise, or one prompt that was being read. */
     private static final long QUEUE_WAIT_NANOS = 200_000_000L;
 
     private int inFlight;
     private double ownMemoryTokens;
     private double backlogTokens;
+    /** Prompt tokens of our requests whose first event has not come. */
+    private long unreadTokens;
+    private int unread;
     private long backlogAtNanos;
     private double others;
     private long othersAtNanos;
@@ -79,17 +83,33 @@
         return ownMemoryTokens + others(nowNanos) * meanTokens;
     }
 
-    /** Prompt tokens that are still to be read, ours and, where it told of a queue, others'. */
+    /**
+     * Prompt tokens that are still to be read, ours and, where it told of a queue, others'. Of our own half are taken
+     * to be there until the first event: others' requests are read in between.
+     */
     double backlogTokens(EngineSpeed speed, long nowNanos) {
         double read = Math.max(0, nowNanos - backlogAtNanos) * speed.tokensPerNano();
-        backlogTokens = Math.max(0, backlogTokens - read);
+        backlogTokens = Math.max(unreadTokens * UNREAD_PART, backlogTokens - read);
         backlogAtNanos = nowNanos;
         return backlogTokens;
     }
 
+    /** Requests of ours whose first event has not come. */
+    int unread() {
+        return unread;
+    }
+
+    /** The first event of a request of ours came, or its end. */
+    void onRead(int tokensToRead) {
+        unread--;
+        unreadTokens = Math.max(0, unreadTokens - tokensToRead);
+    }
+
     void onSent(int tokensToRead, double memory, EngineSpeed speed, long nowNanos) {
         backlogTokens(speed, nowNanos);
         backlogTokens += tokensToRead;
+        unreadTokens += tokensToRead;
+        unread++;
         ownMemoryTokens += memory;
         inFlight++;
     }
@@ -108,9 +128,10 @@
      * What an answer's head told.
      *
      * @param ours requests of ours that were there then
+     * @param oursUnread those of them whose first event had not come
      * @param meanTokensToRead of a request, for those that wait there
      */
-    void onTold(ServerLoad told, int ours, double meanTokensToRead, EngineSpeed speed, long atNanos) {
+    void onTold(ServerLoad told, int ours, int oursUnread, double meanTokensToRead, EngineSpeed speed, long atNanos) {
         if (wasTold && atNanos - othersAtNanos < 0) {
             return;
         }
@@ -121,6 +142,8 @@
         if (told.slots() > 0) {
             slots = told.slots();
         }
-        backlogTokens = Math.max(backlogTokens(speed, atNanos), waiting * meanTokensToRead);
+        double others = Math.max(0, waiting - oursUnread) * meanTokensToRead / speed.tokensPerNano();
+        waitNanos = Math.max(waitNanos(atNanos), others);
+        waitAtNanos = atNanos;
     }
 }
--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -115,7 +115,11 @@
 
     @Override
     public void onKvEvents(KvEvents events, long nowNanos) {
-        index.onEvents(events, nowNanos);
+        long read = index.onEvents(events, nowNanos);
+        Engine engine = engines.get(events.source());
+        if (engine != null && read > 0) {
+            engine.reading.onRead(engine.speed.readNanos(read), nowNanos);
+        }
     }
 
     @Override
--- a/routing/src/main/java/burlarch/routing/Flight.java
+++ b/routing/src/main/java/burlarch/routing/Flight.java
@@ -23,6 +23,7 @@
     long firstNanos;
     boolean hasEnded;
     int oursAtFirst;
+    int unreadAtFirst;
 
     Flight(Engine engine, ServiceState service, RouteRequest request) {
         this.engine = engine;
--- a/routing/src/main/java/burlarch/routing/FlightLog.java
+++ b/routing/src/main/java/burlarch/routing/FlightLog.java
@@ -93,6 +93,8 @@
         Engine engine = flight.engine;
         flight.firstNanos = nowNanos;
         flight.oursAtFirst = engine.load.inFlight();
+        engine.load.onRead(flight.tokensToRead);
+        flight.unreadAtFirst = engine.load.unread();
         engine.health.onAlive();
         double elapsed = nowNanos - flight.sentNanos;
         double waited = Math.max(0, elapsed - flight.ownNanos());
@@ -129,9 +131,13 @@
         }
         flight.hasEnded = true;
         Engine engine = flight.engine;
+        if (!flight.hasBegun()) {
+            engine.load.onRead(flight.tokensToRead);
+        }
         if (told != null) {
             boolean begun = flight.hasBegun();
             engine.load.onTold(told, begun ? flight.oursAtFirst : engine.load.inFlight(),
+                    begun ? flight.unreadAtFirst : engine.load.unread(),
                     flight.service.meanTokensToRead(), engine.speed, begun ? flight.firstNanos : nowNanos);
         }
         engine.load.onEnded(flight.memoryTokens);
--- a/routing/src/main/java/burlarch/routing/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/PromptScheduler.java
@@ -138,7 +138,7 @@
         EngineLoad load = engine.load;
         double ahead = Math.max(0, load.requests(nowNanos) + 1 - load.slots());
         double reading = engine.speed.readNanos(load.backlogTokens(engine.speed, nowNanos));
-        return Math.max(reading, load.waitNanos(nowNanos))
+        return reading + Math.max(engine.reading.waitNanos(nowNanos), load.waitNanos(nowNanos))
                 + engine.speed.serviceNanos() * ahead / load.slots();
     }
 
--- a/routing/src/main/java/burlarch/routing/index/PromptIndex.java
+++ b/routing/src/main/java/burlarch/routing/index/PromptIndex.java
@@ -52,15 +52,19 @@
         sources.keySet().retainAll(known);
     }
 
-    /** Takes in events; those of a source that was not added are dropped. */
-    public void onEvents(KvEvents events, long nowNanos) {
+    /**
+     * Takes in events; those of a source that was not added are dropped.
+     *
+     * @return tokens that are new to the source and kept nowhere else: those that it has read itself
+     */
+    public long onEvents(KvEvents events, long nowNanos) {
         Source source = sources.get(events.source());
         if (source == null) {
-            return;
+            return 0;
         }
         enterEpoch(source, events.epoch());
         source.uncertain |= events.lost();
-        apply(source, events.events(), nowNanos);
+        return apply(source, events.events(), nowNanos);
     }
 
     /** Takes in the whole of what a source keeps: what it does not name is gone, guesses too. */
@@ -86,18 +90,31 @@
         }
     }
 
-    private static void apply(Source source, List<KvEvent> events, long nowNanos) {
+    private long apply(Source source, List<KvEvent> events, long nowNanos) {
         int now = ticks(nowNanos);
+        long read = 0;
         for (int i = 0; i < events.size(); i++) {
             KvEvent event = events.get(i);
             String salt = event.salt() == null ? "" : event.salt();
             long key = CacheSalt.key(CacheSalt.hash(salt), event.part());
             if (event.tokens() > 0) {
+                int before = source.parts.isExpected(key) ? 0 : source.parts.tokens(key);
+                read += isElsewhere(source, key) ? 0 : Math.max(0, event.tokens() - before);
                 source.parts.put(key, event.tokens(), CacheSalt.group(salt), now, false);
             } else if (!event.added()) {
                 source.parts.remove(key);
             }
         }
+        return read;
+    }
+
+    private boolean isElsewhere(Source but, long key) {
+        for (Source source : sources.values()) {
+            if (source != but && source.parts.tokens(key) > 0 && !source.parts.isExpected(key)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** A request with these parts went to the source: it will soon keep them, unless told otherwise. */
