--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
@@ -14,8 +14,8 @@
 import java.util.TreeMap;
 
 /**
- * The other controllers: known by the seeds and by what controllers tell of one another, each with the connection
- * that this process asked for. Lives on the loop.
+ * The other controllers: known by the seeds and by what controllers tell of one another, each with the
+ * connection that this process asked for. Lives on the loop.
  */
 final class ControllerPeers {
     /** Most controllers that are known; further addresses are passed over. */
@@ -95,6 +95,11 @@
         return address.equals(ownAddress) || peer != null && peer.connection != null;
     }
 
+    /** Whether all controllers that are known can be reached. */
+    boolean allUp() {
+        return upAddresses().size() == peers.size();
+    }
+
     /** Since when that controller is up or down; 0 where it was never heard of. */
     long sinceNanos(String address) {
         Peer peer = peers.get(address);
@@ -130,5 +135,4 @@
         });
         return candidates;
     }
-
 }
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -10,6 +10,7 @@
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeBounds;
 import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.node.SettingsWatch;
 import burlarch.fleet.node.Shutdown;
 import burlarch.routing.FleetPlanner;
 import burlarch.routing.Planner;
@@ -44,11 +45,12 @@
                 () -> ThreadLocalRandom.current().nextDouble());
         ControllerLinks links = new ControllerLinks(
                 new InForce(planner, lock, server, new FollowedSources(settings.nodeName(), follower)));
-        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ROLE, NodeAddresses.own(settings),
-                settings.zone(), "", UUID.randomUUID().toString());
+        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ROLE,
+                NodeAddresses.own(settings), settings.zone(), "", UUID.randomUUID().toString());
         NodeTransport transport = new NodeTransport(loop, hello,
                 NodeAddresses.socket(NodeAddresses.own(settings)), links);
         loop.execute(() -> links.start(transport, NodeAddresses.seeds(settings)));
+        SettingsWatch.start(newer -> loop.execute(() -> links.learn(NodeAddresses.seeds(newer))));
         Shutdown.onSignal(() -> server.drain().join());
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().front());
     }
