--- /dev/null
+++ b/emulator/src/main/java/burlarch/emulator/demo/DemoConfiguration.java
@@ -0,0 +1,71 @@
+package burlarch.emulator.demo;
+
+import java.util.Locale;
+
+/** The configurations that the demo's operator sends. */
+final class DemoConfiguration {
+    static final String HOST = "shop.demo";
+    static final String READ = "/read/";
+    static final String WRITE = "/write/";
+    static final String TALK = "/talk/";
+    static final String MODEL = "demo-model";
+    static final String ENGINES = "engines";
+    static final String SHOP = "shop";
+    static final String SHOP_NEW = "shop-new";
+    /** Milliseconds within which an answer of the plain service, or a stream's first event, is in time. */
+    static final long AIM_MILLIS = 1_000;
+    static final long TIMEOUT_MILLIS = 4_000;
+    static final String[] KEYS = {"key-of-red", "key-of-green"};
+    /** Open to all; there only since a version, so that a router shows which one it has. */
+    private static final String MARK = "/version-%d/";
+
+    private DemoConfiguration() {
+    }
+
+    /** Path that is routed from that version on. */
+    static String mark(long version) {
+        return String.format(Locale.ROOT, MARK, version);
+    }
+
+    static String whole(long version, String storeAddress) {
+        return "{\"config_version\":" + version + ",\"routes\":["
+                + route("read", READ, "idempotent", SHOP, "") + ","
+                + route("write", WRITE, "non_idempotent", SHOP, "") + ","
+                + route("talk", TALK, "streaming", ENGINES,
+                        ",\"session_affinity\":true,\"resumable\":true,\"gap_aim_ms\":500") + ","
+                + markRoute(version) + "],\"services\":[" + plain(SHOP) + "," + plain(SHOP_NEW) + ","
+                + "{\"name\":\"" + ENGINES + "\",\"health_check\":\"/healthz\",\"max_connections\":200,"
+                + "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"capacity\":16,\"kv_capacity\":65536,"
+                + "\"kv_token_bytes\":1024,\"link_mbps\":10000.0,\"stride\":1,\"max_in_flight\":8,"
+                + "\"models\":[{\"name\":\"" + MODEL + "\"}]}},"
+                + "{\"name\":\"store\",\"kv_store\":\"" + storeAddress + "\",\"zone\":\"hall\","
+                + "\"kv_capacity\":200000,\"link_mbps\":10000.0,\"max_in_flight\":8}],"
+                + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,"
+                + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+                + "\"tenants\":[{\"name\":\"red\",\"api_keys\":[\"" + KEYS[0] + "\"],\"isolated\":true},"
+                + "{\"name\":\"green\",\"api_keys\":[\"" + KEYS[1] + "\"]}]}";
+    }
+
+    /** Sends the reads to another service, and marks the version. */
+    static String patch(long version, long former, String readsGoTo) {
+        return "{\"config_version\":" + version + ",\"upsert\":{\"routes\":["
+                + route("read", READ, "idempotent", readsGoTo, "") + "," + markRoute(version)
+                + "]},\"delete\":{\"routes\":[\"mark-" + former + "\"]}}";
+    }
+
+    private static String markRoute(long version) {
+        return route("mark-" + version, mark(version), "idempotent", SHOP, ",\"public\":true");
+    }
+
+    private static String plain(String name) {
+        return "{\"name\":\"" + name + "\",\"health_check\":\"/healthz\",\"max_connections\":200,"
+                + "\"protocol\":\"h1\",\"tls\":false}";
+    }
+
+    private static String route(String name, String prefix, String type, String service, String more) {
+        return "{\"name\":\"" + name + "\",\"hostname\":\"" + HOST + "\",\"path_prefix\":\"" + prefix
+                + "\",\"route_type\":\"" + type + "\",\"timeout_ms\":" + TIMEOUT_MILLIS
+                + ",\"target_latency_ms\":" + AIM_MILLIS + ",\"priority\":1,\"service\":\"" + service
+                + "\",\"retries\":2" + more + "}";
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/burlarch/emulator/demo/Main.java
@@ -0,0 +1,112 @@
+package burlarch.emulator.demo;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The command line of the emulator. */
+public final class Main {
+    static final int PASSED = 0;
+    static final int FAILED = 1;
+    static final int COULD_NOT_RUN = 2;
+
+    private static final String USAGE = """
+            burlarch fleet-demo [--seconds N] [--jar FILE] [--logs FOLDER]
+              Starts 3 controllers and 2 routers as processes of their own, and in this process engines, a
+              store, plain instances, an operator and clients, all on loopback. While traffic runs it changes
+              the configuration, replaces an engine, kills a controller and names new weights.
+              --seconds N    of traffic, 15 or more (default 15)
+              --jar FILE     the fleet's program (default target/burlarch.jar)
+              --logs FOLDER  where the programs' logs are kept (default: a folder that goes with the demo)
+            Exit codes:
+              0  the verdict is good
+              1  a bar of the verdict is missed
+              2  it could not run""";
+
+    @Option(name = "--help", help = true)
+    private boolean help;
+
+    @Option(name = "--version", help = true)
+    private boolean version;
+
+    @Argument(metaVar = "COMMAND", required = true, handler = SubCommandHandler.class)
+    @SubCommands({@SubCommand(name = "fleet-demo", impl = DemoOptions.class)})
+    private DemoOptions options;
+
+    private Main() {
+    }
+
+    /** Runs a command and ends the process. */
+    public static void main(String[] arguments) {
+        // Clients choose the host that they ask for, and nothing is sent twice behind their backs.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
+        System.setProperty("jdk.httpclient.disableRetryConnect", "true");
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+        System.exit(execute(arguments, System.out, System.err));
+    }
+
+    static int execute(String[] arguments, PrintStream output, PrintStream errors) {
+        Main main = new Main();
+        try {
+            new CmdLineParser(main, ParserProperties.defaults()).parseArgument(arguments);
+        } catch (CmdLineException e) {
+            errors.println("burlarch: " + e.getMessage());
+            errors.println(USAGE);
+            return COULD_NOT_RUN;
+        }
+        if (main.help || main.options != null && main.options.help()) {
+            output.println(USAGE);
+            return PASSED;
+        }
+        if (main.version) {
+            output.println("burlarch " + Main.class.getPackage().getImplementationVersion());
+            return PASSED;
+        }
+        try {
+            return new FleetDemo(main.options, output).run() ? PASSED : FAILED;
+        } catch (Exception e) {
+            errors.println("burlarch: " + e);
+            return COULD_NOT_RUN;
+        }
+    }
+
+    /** What the demo is told. Public, as args4j makes it. */
+    public static final class DemoOptions {
+        private static final int LEAST_SECONDS = 15;
+
+        @Option(name = "--help", help = true)
+        private boolean help;
+
+        @Option(name = "--seconds")
+        private int seconds = LEAST_SECONDS;
+
+        @Option(name = "--jar")
+        private Path jar = Path.of("target", "burlarch.jar");
+
+        @Option(name = "--logs")
+        private Path logs;
+
+        boolean help() {
+            return help;
+        }
+
+        int seconds() {
+            return Math.max(LEAST_SECONDS, seconds);
+        }
+
+        Path jar() {
+            return jar;
+        }
+
+        Path logs() {
+            return logs;
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/burlarch/emulator/server/PlainServer.java
@@ -0,0 +1,46 @@
+package burlarch.emulator.server;
+
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Stands in for an instance of a plain service: it takes a while and answers with a short text. */
+public final class PlainServer extends StandIn {
+    private final long workMillis;
+    private final Semaphore slots;
+    private final AtomicInteger running = new AtomicInteger();
+
+    /** @param workMillis that a request takes */
+    public PlainServer(InstanceInfo info, RunBook book, long workMillis) throws IOException {
+        super(info, book);
+        this.workMillis = workMillis;
+        this.slots = new Semaphore(info.capacity());
+    }
+
+    @Override
+    Map<String, Long> versions() {
+        return Map.of();
+    }
+
+    @Override
+    void serve(HttpExchange exchange) throws IOException, InterruptedException {
+        if (!slots.tryAcquire()) {
+            Answers.notExecuted(exchange, 503);
+            return;
+        }
+        running.incrementAndGet();
+        try {
+            String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
+            book().ran(id, info().id());
+            Thread.sleep(workMillis);
+            sign(exchange);
+            exchange.getResponseHeaders().set("X-Server-Load", running.get() + ",0," + info().capacity());
+            Answers.whole(exchange, 200, info().service() + " " + id);
+        } finally {
+            running.decrementAndGet();
+            slots.release();
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/test/java/burlarch/emulator/demo/MainTest.java
@@ -0,0 +1,38 @@
+package burlarch.emulator.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import org.junit.jupiter.api.Test;
+
+/** What the command line says and how it ends. */
+class MainTest {
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+    private int run(String... arguments) {
+        return Main.execute(arguments, new PrintStream(output, true), new PrintStream(errors, true));
+    }
+
+    @Test
+    void help() {
+        assertThat(run("--help")).isZero();
+        assertThat(run("fleet-demo", "--help")).isZero();
+        assertThat(output.toString()).contains("fleet-demo", "--seconds", "Exit codes");
+    }
+
+    @Test
+    void wrongArguments() {
+        assertThat(run("fleet-demo", "--fast")).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(run("dance")).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(run()).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(errors.toString()).contains("burlarch: ", "fleet-demo");
+    }
+
+    @Test
+    void withoutTheFleetsProgramNothingStarts() {
+        assertThat(run("fleet-demo", "--jar", "no/such.jar")).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(errors.toString()).contains("no/such.jar is not there").contains("mvn");
+    }
+}
--- /dev/null
+++ b/emulator/src/test/java/burlarch/emulator/model/WeightsOrdersTest.java
@@ -0,0 +1,55 @@
+package burlarch.emulator.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Which orders an engine takes. */
+class WeightsOrdersTest {
+    private static final long LOAD = 100;
+    private final WeightsOrders orders = new WeightsOrders(Map.of("m", 1L), LOAD);
+
+    private static WeightsOrders.Order order(long version, long fence, long revision) {
+        return new WeightsOrders.Order("config_version", "m", version, "retain", "holder", fence, revision);
+    }
+
+    @Test
+    void anOrderTakesItsTimeAndThenHolds() {
+        assertThat(orders.take(order(2, 5, -1), 0)).isEqualTo(202);
+        assertThat(orders.concerns("m")).isTrue();
+        assertThat(orders.concerns("n")).isFalse();
+        assertThat(orders.finish(LOAD - 1)).isNull();
+        assertThat(orders.versions()).containsEntry("m", 1L);
+        assertThat(orders.finish(LOAD)).isEqualTo("m");
+        assertThat(orders.versions()).containsEntry("m", 2L);
+        assertThat(orders.take(order(2, 5, -1), LOAD)).isEqualTo(200);
+    }
+
+    @Test
+    void aLowerFenceIsRefused() {
+        orders.take(order(1, 5, -1), 0);
+        assertThat(orders.take(order(2, 4, -1), 0)).isEqualTo(412);
+        assertThat(orders.take(order(2, 5, -1), 0)).isEqualTo(202);
+    }
+
+    @Test
+    void oneOrderAtATimeAndOnlyOnTheSequenceExpected() {
+        assertThat(orders.take(order(2, 1, 1), 0)).isEqualTo(409);
+        assertThat(orders.take(order(2, 1, 0), 0)).isEqualTo(202);
+        assertThat(orders.sequence()).isEqualTo(1);
+        assertThat(orders.take(order(3, 1, -1), 0)).isEqualTo(409);
+    }
+
+    @Test
+    void whatIsNoOrderIsRefused() {
+        assertThat(orders.take(order(2, 0, -1), 0)).isEqualTo(400);
+        assertThat(orders.take(order(0, 1, -1), 0)).isEqualTo(400);
+        assertThat(orders.take(new WeightsOrders.Order("paint", "m", 2, "retain", "h", 1, -1), 0))
+                .isEqualTo(400);
+        assertThat(orders.take(new WeightsOrders.Order("config_version", "n", 2, "retain", "h", 1, -1), 0))
+                .isEqualTo(400);
+        assertThat(orders.take(new WeightsOrders.Order("config_version", "m", 2, "retain", " ", 1, -1), 0))
+                .isEqualTo(400);
+    }
+}
