--- a/fleet/src/main/java/burlarch/fleet/Commands.java
+++ b/fleet/src/main/java/burlarch/fleet/Commands.java
@@ -1,11 +1,15 @@
 package burlarch.fleet;
 
+import burlarch.fleet.command.ConfigCommand;
 import burlarch.fleet.controller.ControllerProgram;
 import burlarch.fleet.node.NodeSettings;
 import burlarch.fleet.router.RouterProgram;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
 
 /** What the command line can be asked for. Public, as args4j makes them. */
 public final class Commands {
@@ -34,6 +38,21 @@
         }
     }
 
+    /** {@code config get|put|patch|validate} */
+    public static final class Config implements Command {
+        @Argument(metaVar = "get|put|patch|validate", required = true, handler = SubCommandHandler.class)
+        @SubCommands({@SubCommand(name = "get", impl = ConfigCommand.Get.class),
+            @SubCommand(name = "put", impl = ConfigCommand.Put.class),
+            @SubCommand(name = "patch", impl = ConfigCommand.Patch.class),
+            @SubCommand(name = "validate", impl = ConfigCommand.Validate.class)})
+        private ConfigCommand.Action action;
+
+        @Override
+        public void run(PrintStream output) throws Exception {
+            action.run(output);
+        }
+    }
+
     /** {@code check-settings FILE} */
     public static final class CheckSettings implements Command {
         @Argument(metaVar = "FILE", required = true, usage = "a file of settings")
--- a/fleet/src/main/java/burlarch/fleet/Main.java
+++ b/fleet/src/main/java/burlarch/fleet/Main.java
@@ -1,11 +1,13 @@
 package burlarch.fleet;
 
+import burlarch.fleet.command.CommandFailure;
 import burlarch.fleet.node.HangUp;
 import burlarch.settings.SettingsException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.NoSuchFileException;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -30,10 +32,19 @@
               router               runs a router, set up by the file that BURLARCH_NODE_FILE names
               controller           runs a controller, set up by the same
               check-settings FILE  says what is wrong with a file of settings
+              config get --control HOST:PORT[,HOST:PORT...]
+                                   prints the newest configuration
+              config put FILE --control HOST:PORT[,HOST:PORT...] [--if-match N]
+                                   sends a whole one, built on version N or else on the one in place
+              config patch FILE --control HOST:PORT[,HOST:PORT...] [--if-match N]
+                                   sends a change of named items
+              config validate FILE says what is wrong with a whole configuration; calls nobody
             Exit codes:
               0  it did what it was asked to
-              1  it could not start, or met a fault of its own
-              2  wrong arguments or settings""";
+              1  it could not start, met a fault of its own, or got no clear answer
+              2  wrong arguments, files or settings
+              3  the configuration is refused as invalid
+              4  the configuration is refused since another version is in place""";
 
     @Option(name = "--help", help = true)
     private boolean help;
@@ -44,6 +55,7 @@
     @Argument(metaVar = "COMMAND", required = true, handler = SubCommandHandler.class)
     @SubCommands({@SubCommand(name = "router", impl = Commands.Router.class),
         @SubCommand(name = "controller", impl = Commands.Controller.class),
+        @SubCommand(name = "config", impl = Commands.Config.class),
         @SubCommand(name = "check-settings", impl = Commands.CheckSettings.class)})
     private Commands.Command command;
 
@@ -73,6 +85,12 @@
         } catch (SettingsException e) {
             e.getMessage().lines().forEach(line -> errors.println("burlarch: " + line));
             return COULD_NOT_RUN;
+        } catch (CommandFailure e) {
+            e.getMessage().lines().forEach(line -> errors.println("burlarch: " + line));
+            return e.exitCode();
+        } catch (NoSuchFileException e) {
+            errors.println("burlarch: no such file: " + e.getMessage());
+            return COULD_NOT_RUN;
         } catch (IOException e) {
             errors.println("burlarch: " + e.getMessage());
             return FAILED;
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/command/ConfigCommand.java
@@ -0,0 +1,148 @@
+package burlarch.fleet.command;
+
+import burlarch.configuration.ConfigurationDocument;
+import burlarch.configuration.ConfigurationPatch;
+import burlarch.configuration.InvalidConfiguration;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** What {@code config} does: get, put, patch, validate. Its parts are public, as args4j makes them. */
+public final class ConfigCommand {
+    private static final String PATH = "/burlarch/config";
+    private static final int NONE_YET = 404;
+
+    private ConfigCommand() {
+    }
+
+    /** One of the four. */
+    public interface Action {
+        /** Does it. */
+        void run(PrintStream output) throws Exception;
+    }
+
+    /** {@code get}: prints the newest configuration. */
+    public static final class Get implements Action {
+        @Option(name = "--control", metaVar = "HOST:PORT[,HOST:PORT...]", required = true)
+        private String control;
+
+        @Override
+        public void run(PrintStream output) throws Exception {
+            ControlClient.Answer answer = read(client(control));
+            output.write(answer.body());
+            output.println();
+        }
+    }
+
+    /** {@code put}: sends a whole configuration. */
+    public static final class Put implements Action {
+        @Argument(metaVar = "FILE", required = true)
+        private Path file;
+
+        @Option(name = "--control", metaVar = "HOST:PORT[,HOST:PORT...]", required = true)
+        private String control;
+
+        @Option(name = "--if-match", metaVar = "N")
+        private Long ifMatch;
+
+        @Override
+        public void run(PrintStream output) throws Exception {
+            byte[] json = Files.readAllBytes(file);
+            long version = valid(json).version();
+            send("PUT", client(control), json, ifMatch);
+            output.println("configuration " + version + " is acknowledged");
+        }
+    }
+
+    /** {@code patch}: sends a change of named items. */
+    public static final class Patch implements Action {
+        @Argument(metaVar = "FILE", required = true)
+        private Path file;
+
+        @Option(name = "--control", metaVar = "HOST:PORT[,HOST:PORT...]", required = true)
+        private String control;
+
+        @Option(name = "--if-match", metaVar = "N")
+        private Long ifMatch;
+
+        @Override
+        public void run(PrintStream output) throws Exception {
+            byte[] json = Files.readAllBytes(file);
+            long version;
+            try {
+                version = ConfigurationPatch.read(json).version();
+            } catch (InvalidConfiguration invalid) {
+                throw Refusals.of(invalid);
+            }
+            send("PATCH", client(control), json, ifMatch);
+            output.println("configuration " + version + " is acknowledged");
+        }
+    }
+
+    /** {@code validate}: checks a whole configuration here, without any controller. */
+    public static final class Validate implements Action {
+        @Argument(metaVar = "FILE", required = true)
+        private Path file;
+
+        @Override
+        public void run(PrintStream output) throws Exception {
+            output.println(file + ": valid configuration " + valid(Files.readAllBytes(file)).version());
+        }
+    }
+
+    private static ConfigurationDocument valid(byte[] json) throws CommandFailure {
+        try {
+            return ConfigurationDocument.read(json);
+        } catch (InvalidConfiguration invalid) {
+            throw Refusals.of(invalid);
+        }
+    }
+
+    private static ControlClient client(String control) throws CommandFailure {
+        List<String> addresses = List.of(control.split(","));
+        for (String address : addresses) {
+            if (!address.matches("[A-Za-z0-9.-]+:[0-9]{1,5}")) {
+                throw new CommandFailure(CommandFailure.COULD_NOT_RUN, address + " is no HOST:PORT");
+            }
+        }
+        return new ControlClient(addresses);
+    }
+
+    private static ControlClient.Answer read(ControlClient client)
+            throws CommandFailure, InterruptedException {
+        ControlClient.Answer answer = client.call("GET", PATH, null, null);
+        if (answer.status() == NONE_YET) {
+            throw new CommandFailure(CommandFailure.UNCLEAR, "there is no configuration yet");
+        }
+        if (!answer.ok()) {
+            throw Refusals.of(answer);
+        }
+        return answer;
+    }
+
+    /** Without a version to build on, the change builds on the one in place, or on none. */
+    private static void send(String method, ControlClient client, byte[] json, Long ifMatch)
+            throws CommandFailure, InterruptedException, IOException {
+        long base = ifMatch != null ? ifMatch : current(client);
+        ControlClient.Answer answer = client.call(method, PATH, json, base);
+        if (!answer.ok()) {
+            throw Refusals.of(answer);
+        }
+    }
+
+    private static long current(ControlClient client)
+            throws CommandFailure, InterruptedException, IOException {
+        ControlClient.Answer answer = client.call("GET", PATH, null, null);
+        if (answer.status() == NONE_YET) {
+            return 0;
+        }
+        if (!answer.ok()) {
+            throw Refusals.of(answer);
+        }
+        return valid(answer.body()).version();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/command/ControlClient.java
@@ -0,0 +1,84 @@
+package burlarch.fleet.command;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Calls controllers as an operator: one after the other until one answers clearly. A change that is sent again is
+ * acknowledged again, so that tries without a clear answer do no harm.
+ */
+final class ControlClient {
+    private static final int ROUNDS = 4;
+    private static final Duration PATIENCE = Duration.ofSeconds(2);
+    private static final long PAUSE_MILLIS = 200;
+
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(PATIENCE).followRedirects(HttpClient.Redirect.NORMAL).build();
+    private final List<String> controllers;
+
+    /** An answer as it came. */
+    record Answer(int status, byte[] body) {
+        boolean ok() {
+            return status / 100 == 2;
+        }
+
+        /** Whether another controller, or the same one later, may answer otherwise. */
+        private boolean unclear() {
+            return status >= 500 || status == 408 || status == 429;
+        }
+    }
+
+    /** @param controllers control addresses, HOST:PORT, in the order in which they are tried */
+    ControlClient(List<String> controllers) {
+        this.controllers = List.copyOf(controllers);
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param body null for none
+     * @param ifMatch null for none
+     * @throws CommandFailure if no controller answered clearly
+     */
+    Answer call(String method, String path, byte[] body, Long ifMatch)
+            throws CommandFailure, InterruptedException {
+        String reason = "";
+        for (int round = 0; round < ROUNDS; round++) {
+            for (String controller : controllers) {
+                try {
+                    Answer answer = once(controller, method, path, body, ifMatch);
+                    if (!answer.unclear()) {
+                        return answer;
+                    }
+                    reason = controller + ": " + Refusals.reasons(answer.body(), "status " + answer.status());
+                } catch (IOException failure) {
+                    String message = failure.getMessage();
+                    reason = controller + ": " + (message == null ? "no connection" : message);
+                }
+            }
+            Thread.sleep(PAUSE_MILLIS);
+        }
+        throw new CommandFailure(CommandFailure.UNCLEAR, "no clear answer; last of " + reason);
+    }
+
+    private Answer once(String controller, String method, String path, byte[] body, Long ifMatch)
+            throws IOException, InterruptedException {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + controller + path))
+                .timeout(PATIENCE)
+                .method(method, body == null ? BodyPublishers.noBody() : BodyPublishers.ofByteArray(body));
+        if (body != null) {
+            request.header("Content-Type", "application/json");
+        }
+        if (ifMatch != null) {
+            request.header("If-Match", ifMatch.toString());
+        }
+        HttpResponse<byte[]> answer = http.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+        return new Answer(answer.statusCode(), answer.body());
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/command/Refusals.java
@@ -0,0 +1,52 @@
+package burlarch.fleet.command;
+
+import burlarch.configuration.InvalidConfiguration;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Tells why something was refused, a reason a line. */
+final class Refusals {
+    private static final int OTHER_VERSION = 412;
+
+    private Refusals() {
+    }
+
+    /** The reasons that an answer's body tells, or else the given one. */
+    static String reasons(byte[] body, String otherwise) {
+        List<String> lines = new ArrayList<>();
+        try {
+            JsonNode json = new ObjectMapper().readTree(body);
+            if (json.hasNonNull("error")) {
+                lines.add(json.path("error").asText());
+            }
+            for (JsonNode problem : json.path("problems")) {
+                lines.add(line(problem.path("field").asText(), problem.path("reason").asText()));
+            }
+        } catch (IOException notJson) {
+            return otherwise;
+        }
+        return lines.isEmpty() ? otherwise : String.join(System.lineSeparator(), lines);
+    }
+
+    private static String line(String field, String reason) {
+        return field.isEmpty() ? reason : field + ": " + reason;
+    }
+
+    /** What an answer that is no acknowledgement means. */
+    static CommandFailure of(ControlClient.Answer answer) {
+        String reasons = reasons(answer.body(), "status " + answer.status());
+        return answer.status() == OTHER_VERSION
+                ? new CommandFailure(CommandFailure.OTHER_VERSION, "another version is in place: " + reasons)
+                : new CommandFailure(CommandFailure.INVALID, reasons);
+    }
+
+    /** What a local check found. */
+    static CommandFailure of(InvalidConfiguration invalid) {
+        List<String> lines = new ArrayList<>();
+        invalid.problems().forEach(problem -> lines.add(line(problem.field(), problem.reason())));
+        return new CommandFailure(CommandFailure.INVALID, String.join(System.lineSeparator(), lines));
+    }
+}
