--- a/routing/src/main/java/burlarch/routing/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/CostModel.java
@@ -39,7 +39,7 @@
     /** What is known of an engine whose events got lost counts for this part. */
     static final double UNCERTAIN = 0.8;
     /** The next engine by rendezvous is taken where the first costs more than the best by this. */
-    static final long RENDEZVOUS_SLACK_NANOS = 150_000_000L;
+    static final long RENDEZVOUS_SLACK_NANOS = 300_000_000L;
     /** What one engine counts of its running requests' kept tokens: running requests share them. */
     static final double KEPT_SHARE = 0.5;
     /** Part of the most tokens that a request is taken to put out. */
--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -21,7 +21,8 @@
 public final class FleetPlanner implements Planner {
     /** Sends of one request to instances that turned it away, beyond the tries that its route allows. */
     private static final int MOST_NEVER_RAN = 2;
-    private static final long NO_INSTANCE_RETRY_MILLIS = 250;
+    /** Instances announce themselves about every second: one that is new, or all of them to a new router. */
+    private static final long NO_INSTANCE_RETRY_MILLIS = 800;
     private static final long BUSY_RETRY_MILLIS = 150;
     /** Part of the bound for new weights after which engines with old ones get nothing more. */
     private static final double VERSION_GRACE = 0.75;
@@ -151,7 +152,7 @@
         flights.lookAtOverdue(nowNanos);
         ServiceState service = services.get(WeightedSplit.serviceOf(request.route(), request.id()));
         if (service == null) {
-            return new Placement.Refuse(NO_INSTANCE_RETRY_MILLIS, "no such service");
+            return noInstance(request, "no such service", nowNanos);
         }
         AttemptHistory.Tried tried = attempt == 0 ? AttemptHistory.NOTHING : history.of(request.id());
         Placement.Refuse refusal = attempt == 0 ? null : further(request, service, tried, attempt, nowNanos);
@@ -164,13 +165,18 @@
         List<Engine> usable = candidates.of(service, request, tried,
                 (long) (settings.versionMillis() * 1e6 * VERSION_GRACE), nowNanos);
         if (usable.isEmpty()) {
-            return new Placement.Refuse(NO_INSTANCE_RETRY_MILLIS, "no instance is ready");
+            return noInstance(request, "no instance is ready", nowNanos);
         }
         return service.isModelService() && request.model() != null
                 ? placePrompt(request, service, usable, attempt, nowNanos)
                 : placePlain(request, service, usable, attempt, nowNanos);
     }
 
+    private static Placement.Refuse noInstance(RouteRequest request, String reason, long nowNanos) {
+        long wait = (long) (NO_INSTANCE_RETRY_MILLIS * (0.5 + Rendezvous.unit(request.id())));
+        return new Placement.Refuse(bounded(request, wait, nowNanos), reason);
+    }
+
     /** Whether and why a further attempt is not allowed, else null. */
     private static Placement.Refuse further(RouteRequest request, ServiceState service,
             AttemptHistory.Tried tried, int attempt, long nowNanos) {
