--- a/routing/src/main/java/burlarch/routing/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/CostModel.java
@@ -23,7 +23,7 @@
     /** How many times its own length a move counts: moved memory is priced a little. */
     static final double MOVE_WEIGHT = 1.5;
     /** The same for reading what others keep: it costs a hundred times what moving the same tokens does. */
-    static final double REREAD_WEIGHT = 20;
+    static final double REREAD_WEIGHT = 12;
     /** Shared tokens from which a store's copy is worth its move. */
     static final int SAVE_TOKENS = 64;
     /** Counts each nanosecond beyond the aim, on top of itself: late answers lose most of their worth. */
--- a/routing/src/main/java/burlarch/routing/Engine.java
+++ b/routing/src/main/java/burlarch/routing/Engine.java
@@ -12,14 +12,16 @@
     final String id;
     final long idHash;
     final Health health = new Health();
-    final EngineSpeed speed = new EngineSpeed();
+    final EngineSpeed speed;
     final ReadingRate reading = new ReadingRate();
     final MoveSpeed moves = new MoveSpeed();
     final EngineLoad load;
     private final Map<String, Long> versions = new HashMap<>(2);
     private Instance instance;
 
-    Engine(Instance instance) {
+    /** @param usual how fast instances of the service are */
+    Engine(Instance instance, EngineSpeed usual) {
+        this.speed = new EngineSpeed(usual);
         this.id = instance.id();
         this.idHash = Rendezvous.hash(id);
         this.load = new EngineLoad(instance.capacity());
--- a/routing/src/main/java/burlarch/routing/EngineLoad.java
+++ b/routing/src/main/java/burlarch/routing/EngineLoad.java
@@ -8,6 +8,8 @@
     private static final long QUEUE_NANOS = 1_000_000_000L;
     /** How long a wait that a first event showed counts for, fading evenly. */
     private static final double WAIT_FADE_NANOS = 8e8;
+    /** How long the same tells that places there are not free for sure. */
+    private static final double STRAIN_FADE_NANOS = 2e9;
     private static final double WAIT_GAIN = 0.5;
     private static final double UNREAD_PART = 0.5;
     /** Shorter waits are noise, or one prompt that was being read. */
@@ -57,12 +59,16 @@
     /** Whether requests wait there, as it told or first events showed lately. */
     boolean hasQueue(long nowNanos) {
         return waiting > 0 && nowNanos - othersAtNanos < QUEUE_NANOS
-                || waitNanos(nowNanos) > QUEUE_WAIT_NANOS;
+                || faded(STRAIN_FADE_NANOS, nowNanos) > QUEUE_WAIT_NANOS;
     }
 
     /** How long requests lately waited for others, of whatever router. */
     double waitNanos(long nowNanos) {
-        return waitNanos * Math.max(0, 1 - (nowNanos - waitAtNanos) / WAIT_FADE_NANOS);
+        return faded(WAIT_FADE_NANOS, nowNanos);
+    }
+
+    private double faded(double fadeNanos, long nowNanos) {
+        return waitNanos * Math.max(0, 1 - (nowNanos - waitAtNanos) / fadeNanos);
     }
 
     /** A request has waited for others so long and does so still. */
@@ -84,8 +90,8 @@
     }
 
     /**
-     * Prompt tokens that are still to be read, ours and, where it told of a queue, others'. Of our own half are taken
-     * to be there until the first event: others' requests are read in between.
+     * Our prompt tokens that are still to be read. Half of them are taken to be there until the first event:
+     * others' requests are read in between.
      */
     double backlogTokens(EngineSpeed speed, long nowNanos) {
         double read = Math.max(0, nowNanos - backlogAtNanos) * speed.tokensPerNano();
@@ -131,7 +137,8 @@
      * @param oursUnread those of them whose first event had not come
      * @param meanTokensToRead of a request, for those that wait there
      */
-    void onTold(ServerLoad told, int ours, int oursUnread, double meanTokensToRead, EngineSpeed speed, long atNanos) {
+    void onTold(ServerLoad told, int ours, int oursUnread, double meanTokensToRead, EngineSpeed speed,
+            long atNanos) {
         if (wasTold && atNanos - othersAtNanos < 0) {
             return;
         }
--- a/routing/src/main/java/burlarch/routing/EngineSpeed.java
+++ b/routing/src/main/java/burlarch/routing/EngineSpeed.java
@@ -12,16 +12,34 @@
     private static final int SHORT_TOKENS = 400;
     private static final int LONG_TOKENS = 1_500;
 
+    /** Samples from which an instance is taken at its own word. */
+    private static final int TAUGHT = 3;
+
+    private final EngineSpeed unlessTaught;
+    private int samples;
     private double tokensPerMilli = CostModel.START_TOKENS_PER_MILLI;
     private double baseNanos = CostModel.START_BASE_NANOS;
     private double serviceNanos = CostModel.START_SERVICE_NANOS;
 
+    EngineSpeed() {
+        this(null);
+    }
+
+    /** Learns for the other too, and is taken to be as fast as that until it has shown itself. */
+    EngineSpeed(EngineSpeed unlessTaught) {
+        this.unlessTaught = unlessTaught;
+    }
+
     double tokensPerNano() {
-        return tokensPerMilli * 1e-6;
+        return isTaught() ? tokensPerMilli * 1e-6 : unlessTaught.tokensPerNano();
     }
 
     double baseNanos() {
-        return baseNanos;
+        return isTaught() ? baseNanos : unlessTaught.baseNanos();
+    }
+
+    private boolean isTaught() {
+        return unlessTaught == null || samples >= TAUGHT;
     }
 
     /** Mean time of whole answers. */
@@ -35,10 +53,14 @@
 
     /** A first event came that had waited for no other request of ours. */
     void onFirstEvent(int tokensRead, double elapsedNanos) {
+        if (unlessTaught != null) {
+            unlessTaught.onFirstEvent(tokensRead, elapsedNanos);
+        }
         if (tokensRead < SHORT_TOKENS) {
             baseNanos = toward(baseNanos, Math.max(1e6, elapsedNanos - readNanos(tokensRead)), true);
         } else if (tokensRead >= LONG_TOKENS && elapsedNanos > baseNanos) {
             double seen = tokensRead * 1e6 / (elapsedNanos - baseNanos);
+            samples++;
             double next = toward(tokensPerMilli, seen, false);
             tokensPerMilli = Math.max(LEAST_RATE, Math.min(MOST_RATE, next));
         }
--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -88,9 +88,10 @@
         Set<String> ids = new HashSet<>();
         for (Instance instance : instances) {
             ids.add(instance.id());
-            Engine engine = engines.computeIfAbsent(instance.id(), id -> new Engine(instance));
-            engine.update(instance);
             ServiceState service = services.get(instance.service());
+            Engine engine = engines.computeIfAbsent(instance.id(),
+                    id -> new Engine(instance, service == null ? null : service.speed));
+            engine.update(instance);
             if (service != null) {
                 service.engines.add(engine);
                 if (service.isModelService()) {
@@ -116,6 +117,7 @@
 
     @Override
     public void onKvEvents(KvEvents events, long nowNanos) {
+        moves.onHeard(events.source());
         long read = index.onEvents(events, nowNanos);
         Engine engine = engines.get(events.source());
         if (engine != null && read > 0) {
@@ -125,6 +127,7 @@
 
     @Override
     public void onKvList(KvEvents list, long nowNanos) {
+        moves.onHeard(list.source());
         index.onList(list, nowNanos);
     }
 
--- a/routing/src/main/java/burlarch/routing/FlightLog.java
+++ b/routing/src/main/java/burlarch/routing/FlightLog.java
@@ -105,6 +105,9 @@
             double strain = waited / aim;
             flight.service.admission.onOutcome(flight.sentNanos, strain, true, nowNanos);
         }
+        if (send.kvSave() != null) {
+            moves.onSaveDue(send.kvSave(), nowNanos);
+        }
         if (send.kvFetch() != null) {
             learnMove(flight, send.kvFetch(), elapsed - flight.ownNanos() - othersWaited, nowNanos);
         } else if (flight.alone) {
--- a/routing/src/main/java/burlarch/routing/Moves.java
+++ b/routing/src/main/java/burlarch/routing/Moves.java
@@ -5,8 +5,10 @@
 import burlarch.routing.index.PromptIndex;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Which kept parts are moved between engines and stores. */
 final class Moves {
@@ -23,6 +25,8 @@
     private final PlannerSettings settings;
     private final PromptIndex index;
     private final List<Service> stores = new ArrayList<>();
+    /** By address. */
+    private final Map<String, StoreWatch> watches = new HashMap<>();
     private final Map<String, Integer> late = new HashMap<>();
     private final Map<String, Long> suspectUntil = new HashMap<>();
 
@@ -33,12 +37,16 @@
 
     void configure(List<Service> services) {
         stores.clear();
+        Set<String> addresses = new HashSet<>();
         for (Service service : services) {
             if (service.kvStore() != null) {
                 stores.add(service);
+                watches.computeIfAbsent(service.kvStore(), address -> new StoreWatch());
+                addresses.add(service.kvStore());
                 index.addSource(service.name(), service.kvCapacity());
             }
         }
+        watches.keySet().retainAll(addresses);
     }
 
     /** Names of the stores' services, which are sources of the index. */
@@ -79,7 +87,7 @@
         return best == null ? byChance(parts, nowNanos) : best;
     }
 
-    /** A store that may have got the parts just now, or whose events went missing: a miss costs next to nothing. */
+    /** A store that may have got the parts just now, or whose events went missing: a miss costs little. */
     private Source byChance(List<PromptPart> parts, long nowNanos) {
         if (PromptScheduler.sharedTokens(parts) >= CostModel.CHANCE_TOKENS) {
             for (int i = 0; i < stores.size(); i++) {
@@ -95,6 +103,9 @@
     int storedTokens(long salt, List<PromptPart> parts, long nowNanos) {
         int most = 0;
         for (int i = 0; i < stores.size(); i++) {
+            if (isSuspect(stores.get(i).kvStore(), nowNanos)) {
+                continue;
+            }
             most = Math.max(most, index.confirmedPrefixTokens(stores.get(i).name(), salt, parts, nowNanos));
         }
         return most;
@@ -161,6 +172,23 @@
         }
     }
 
+    /** Events or a list of that source came, which may be a store's service. */
+    void onHeard(String source) {
+        for (int i = 0; i < stores.size(); i++) {
+            if (stores.get(i).name().equals(source)) {
+                watches.get(stores.get(i).kvStore()).onHeard();
+            }
+        }
+    }
+
+    /** An engine has read what it was told to save at that address. */
+    void onSaveDue(String address, long nowNanos) {
+        StoreWatch watch = watches.get(address);
+        if (watch != null) {
+            watch.onSaveDue(nowNanos);
+        }
+    }
+
     /** A move from that address ended so much later than it should have, even if it brought nothing. */
     void onMoved(String address, double lateNanos, long nowNanos) {
         if (lateNanos <= DEAD_NANOS) {
@@ -178,6 +206,10 @@
     }
 
     private boolean isSuspect(String address, long nowNanos) {
+        StoreWatch watch = watches.get(address);
+        if (watch != null && watch.isSilent(nowNanos)) {
+            return true;
+        }
         Long until = suspectUntil.get(address);
         return until != null && nowNanos - until < 0;
     }
--- a/routing/src/main/java/burlarch/routing/ServiceState.java
+++ b/routing/src/main/java/burlarch/routing/ServiceState.java
@@ -15,6 +15,7 @@
     }
 
     final String name;
+    final EngineSpeed speed = new EngineSpeed();
     final List<Engine> engines = new ArrayList<>();
     final RetryBudget budget;
     final Admission admission;
--- /dev/null
+++ b/routing/src/test/java/burlarch/routing/ReadingRateTest.java
@@ -0,0 +1,35 @@
+package burlarch.routing;
+
+import static burlarch.routing.Fixture.MILLI;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ReadingRateTest {
+    private final ReadingRate reading = new ReadingRate();
+
+    @Test
+    void anIdleEngineLetsNobodyWait() {
+        assertThat(reading.waitNanos(0)).isZero();
+    }
+
+    @Test
+    void theBusierAnEngineWasTheLongerTheWaitThatIsExpected() {
+        ReadingRate busier = new ReadingRate();
+        for (int i = 0; i < 20; i++) {
+            reading.onRead(30 * MILLI, i * 100 * MILLI);
+            busier.onRead(80 * MILLI, i * 100 * MILLI);
+        }
+        long now = 1_900 * MILLI;
+        assertThat(reading.load(now)).isBetween(0.25, 0.4);
+        assertThat(busier.load(now)).isBetween(0.7, 0.95);
+        assertThat(busier.waitNanos(now)).isGreaterThan(4 * reading.waitNanos(now));
+    }
+
+    @Test
+    void whatItReadIsForgottenSoon() {
+        reading.onRead(5_000 * MILLI, 0);
+        assertThat(reading.load(0)).isEqualTo(1);
+        assertThat(reading.load(5_000 * MILLI)).isLessThan(0.01);
+    }
+}
