--- a/emulator/src/main/java/burlarch/emulator/demo/StandIns.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/StandIns.java
@@ -74,7 +74,9 @@
         return store.address();
     }
 
-    /** Starts an engine in place of the first one, which leaves; returns whether its drain was acknowledged. */
+    /**
+     * Starts an engine in place of the first one, which leaves; returns whether its drain was acknowledged.
+     */
     boolean replaceEngine(long weights) throws IOException, InterruptedException {
         EngineServer leaving;
         synchronized (this) {
--- a/emulator/src/main/java/burlarch/emulator/demo/StreamCheck.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/StreamCheck.java
@@ -2,7 +2,9 @@
 
 import java.util.concurrent.Flow;
 
-/** Follows the lines of an answer: events have to be numbered without a gap, up to the one that says the end. */
+/**
+ * Follows the lines of an answer: events have to be numbered without a gap, up to the one that says the end.
+ */
 final class StreamCheck implements Flow.Subscriber<String> {
     private volatile long firstNanos;
     private volatile boolean ended;
--- a/emulator/src/main/java/burlarch/emulator/model/BatchModel.java
+++ b/emulator/src/main/java/burlarch/emulator/model/BatchModel.java
@@ -7,9 +7,10 @@
 import java.util.PriorityQueue;
 
 /**
- * An engine that works in batches. Each step reads a piece of the prompts that wait to be read and gives every
- * request that is read one more token. More urgent requests enter first; where memory runs out, the newest of
- * the least urgent goes back to the queue and is read anew. Not safe for use by threads at the same time.
+ * An engine that works in batches. Each step reads a piece of the prompts that wait to be read and gives
+ * every request that is read one more token. More urgent requests enter first; where memory runs out, the
+ * newest of the least urgent goes back to the queue and is read anew. Not safe for use by threads at the same
+ * time.
  */
 public final class BatchModel {
     private final EngineParameters parameters;
--- a/emulator/src/main/java/burlarch/emulator/server/StandIn.java
+++ b/emulator/src/main/java/burlarch/emulator/server/StandIn.java
@@ -109,7 +109,8 @@
     void sign(HttpExchange exchange) {
         String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
         exchange.getResponseHeaders().set("X-Request-Id", id);
-        exchange.getResponseHeaders().set("X-Response-Signature", info.service() + "." + info.id() + "." + id);
+        exchange.getResponseHeaders().set("X-Response-Signature",
+                info.service() + "." + info.id() + "." + id);
     }
 
     /**
--- a/fleet/src/main/java/burlarch/fleet/Main.java
+++ b/fleet/src/main/java/burlarch/fleet/Main.java
@@ -64,6 +64,8 @@
 
     public static void main(String[] arguments) {
         HangUp.take();
+        // The validator logs by this library: through tinylog, like all else.
+        System.setProperty("org.jboss.logging.provider", "slf4j");
         int code = execute(arguments, System.out, System.err);
         if (code != DONE) {
             System.exit(code);
--- a/fleet/src/main/java/burlarch/fleet/command/ControlClient.java
+++ b/fleet/src/main/java/burlarch/fleet/command/ControlClient.java
@@ -10,8 +10,8 @@
 import java.util.List;
 
 /**
- * Calls controllers as an operator: one after the other until one answers clearly. A change that is sent again is
- * acknowledged again, so that tries without a clear answer do no harm.
+ * Calls controllers as an operator: one after the other until one answers clearly. A change that is sent
+ * again is acknowledged again, so that tries without a clear answer do no harm.
  */
 final class ControlClient {
     private static final int ROUNDS = 4;
