--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -1,5 +1,6 @@
 package burlarch.fleet.controller;
 
+import burlarch.fleet.node.Roles;
 import burlarch.transport.Connection;
 import burlarch.transport.NodeLoop;
 import burlarch.transport.NodeMessage;
@@ -12,11 +13,6 @@
  * loop.
  */
 final class ControllerMessages implements NodeTransport.Listener {
-    /** Role that routers give in their Hello. */
-    static final String ROUTER = "router";
-    /** Role that controllers give in their Hello. */
-    static final String CONTROLLER = "controller";
-
     private static final long STATUS_NANOS = 300_000_000;
 
     private final NodeLoop loop;
@@ -34,10 +30,10 @@
 
     @Override
     public void onUp(Connection connection) {
-        if (connection.peer().role().equals(ROUTER)) {
+        if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterUp(connection, parts.peers().knownAddresses());
             parts.reads().onRouterUp(connection);
-        } else if (connection.peer().role().equals(CONTROLLER)) {
+        } else if (connection.peer().role().equals(Roles.CONTROLLER)) {
             parts.peers().onUp(connection);
             connection.send(status());
         }
@@ -45,7 +41,7 @@
 
     @Override
     public void onDown(Connection connection) {
-        if (connection.peer().role().equals(ROUTER)) {
+        if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterDown(connection, parts.peers().knownAddresses());
             parts.reads().onRouterDown(connection);
         } else {
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -32,6 +32,7 @@
 
         void onInstances(InstanceViews views);
 
+        /** Controllers tell how many routers are connected with them. */
         void onRouters(int live);
     }
 
@@ -62,6 +63,11 @@
         }
     }
 
+    /** Whether more than half of the controllers that are known were heard within the time of a silence. */
+    boolean reachesMostControllers() {
+        return 2 * routersSeen.size() > controllers.size();
+    }
+
     /** Whether a configuration is in force and instances were told: requests can be served. */
     boolean isInformed() {
         return version > 0 && toldInstances;
