--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -69,8 +69,8 @@
                 NodeAddresses.socket(address), seeds, SwimSettings.defaults());
         Member own = new Member(store.identity(), address);
         loop.execute(() -> {
-            OperatorCalls calls = wire(settings, loop, transport, messages, membership, store, own, firstMembers,
-                    seeds, Incarnations.processName(settings.nodeName(), incarnation));
+            OperatorCalls calls = wire(settings, loop, transport, messages, membership, store, own,
+                    firstMembers, seeds, Incarnations.processName(settings.nodeName(), incarnation));
             membership.start();
             serve(settings, calls, membership);
         });
@@ -113,9 +113,11 @@
             Member own, String processName) {
         WeightsRollout rollout = new WeightsRollout(
                 RolloutSettings.of(TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos())));
-        WeightsDuty duty = new WeightsDuty(loop, registry, publisher, new EngineClient(engineHttp()), rollout);
+        WeightsDuty duty = new WeightsDuty(loop, registry, publisher, new EngineClient(engineHttp()),
+                rollout);
         OwnershipKeeper ownership = new OwnershipKeeper(loop, register, owners, WEIGHTS, own.address(),
-                OwnerWatch.holderName(processName, own.address()), settings.bounds().leaseNanos(), duty::hasWork, duty);
+                OwnerWatch.holderName(processName, own.address()), settings.bounds().leaseNanos(),
+                duty::hasWork, duty);
         duty.start(ownership);
         decided.addListener((state, ownProposal) -> duty.onDecided(state));
     }
--- a/fleet/src/main/java/burlarch/fleet/controller/KnownControllers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/KnownControllers.java
@@ -39,7 +39,9 @@
         }
     }
 
-    /** What is believed of the process at the address, or null where nothing or another one is known there. */
+    /**
+     * What is believed of the process at the address, or null where nothing or another one is known there.
+     */
     MemberState stateOf(String address, String incarnation) {
         Belief belief = byAddress.get(address);
         return belief != null && Incarnations.text(belief.process).equals(incarnation) ? belief.state : null;
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnerWatch.java
@@ -5,14 +5,14 @@
 import java.util.List;
 
 /**
- * Whether the owner of a duty still lives. What left is gone, and what membership holds dead once this process can't
- * reach it either. That routers still vouch for an owner counts for nothing: cut off from the other controllers it has
- * no quorum and can't act. Lives on the loop.
+ * Whether the owner of a duty still lives. What left is gone, and what membership holds dead once this
+ * process can't reach it either. That routers still vouch for an owner counts for nothing: cut off from the
+ * other controllers it has no quorum and can't act. Lives on the loop.
  */
 final class OwnerWatch {
     /**
-     * A controller that is out of reach for less may only be slow: its duties stay with it. One that was restarted
-     * loses them this long after it is back, when those that start together have all met.
+     * A controller that is out of reach for less may only be slow: its duties stay with it. One that was
+     * restarted loses them this long after it is back, when those that start together have all met.
      */
     private static final long LOST_NANOS = 1_000_000_000;
 
--- a/fleet/src/main/java/burlarch/fleet/node/Membership.java
+++ b/fleet/src/main/java/burlarch/fleet/node/Membership.java
@@ -21,8 +21,8 @@
 import org.tinylog.Logger;
 
 /**
- * {@link Swim} on a port for datagrams: moves its messages, keeps its one timer and tells of changes. Lives on
- * the loop; methods are to be called there unless they say otherwise.
+ * {@link Swim} on a port for datagrams: moves its messages, keeps its one timer and tells of changes. Lives
+ * on the loop; methods are to be called there unless they say otherwise.
  */
 public final class Membership implements AutoCloseable {
     /** Addresses kept ready for sending; beyond it they are made anew. */
--- a/fleet/src/main/java/burlarch/fleet/rehearsal/StandInEngine.java
+++ b/fleet/src/main/java/burlarch/fleet/rehearsal/StandInEngine.java
@@ -9,7 +9,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** What the rehearsal sends requests to: says yes to all, in the forms that engines and plain services use. */
+/**
+ * What the rehearsal sends requests to: says yes to all, in the forms that engines and plain services use.
+ */
 final class StandInEngine implements AutoCloseable {
     private static final int BACKLOG = 50;
     private static final long HOLD_MILLIS = 200;
--- a/fleet/src/main/java/burlarch/fleet/router/RouterCount.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterCount.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 
 /**
- * How many routers share a budget or a task, by what membership and controllers tell. Without I/O or clock: times are
- * nanoseconds of one steady clock.
+ * How many routers share a budget or a task, by what membership and controllers tell. Without I/O or clock:
+ * times are nanoseconds of one steady clock.
  */
 final class RouterCount {
     private final BudgetSettings settings;
@@ -60,7 +60,9 @@
         estimate.contact(now);
     }
 
-    /** Those that live, this one included; what controllers tell counts until membership is sure to have all. */
+    /**
+     * Those that live, this one included; what controllers tell counts until membership is sure to have all.
+     */
     int live(long now) {
         if (others.isEmpty()) {
             return told;
@@ -70,9 +72,9 @@
     }
 
     /**
-     * By how many shared budgets are to be divided. Others that can't count this one yet use what they are used to: a
-     * router that is new or cut off counts all that it ever met within a budget's window, and at its very start, when
-     * it has hardly met any, a number that several new ones at once may safely use.
+     * By how many shared budgets are to be divided. Others that can't count this one yet use what they are
+     * used to: a router that is new or cut off counts all that it ever met within a budget's window, and at
+     * its very start, when it has hardly met any, a number that several new ones at once may safely use.
      */
     int sharers(long now) {
         if (estimate.settled(now)) {
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -63,13 +63,14 @@
     }
 
     /** Connects with the controllers and joins the members. */
-    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links, FleetSize size)
-            throws IOException {
+    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links,
+            FleetSize size) throws IOException {
         String address = NodeAddresses.own(settings);
         List<String> seeds = NodeAddresses.seeds(settings);
         UUID incarnation = UUID.randomUUID();
-        NodeTransport transport = new NodeTransport(loop, new NodeMessage.Hello(settings.nodeName(), Roles.ROUTER,
-                address, settings.zone(), "", incarnation.toString()), NodeAddresses.socket(address), links);
+        NodeTransport transport = new NodeTransport(loop, new NodeMessage.Hello(settings.nodeName(),
+                Roles.ROUTER, address, settings.zone(), "", incarnation.toString()),
+                NodeAddresses.socket(address), links);
         Membership membership = new Membership(loop, new Membership.Self(settings.nodeName(), Roles.ROUTER,
                 settings.zone(), incarnation.getLeastSignificantBits()), NodeAddresses.socket(address), seeds,
                 SwimSettings.defaults());
--- a/routing/src/main/java/burlarch/routing/EngineLoad.java
+++ b/routing/src/main/java/burlarch/routing/EngineLoad.java
@@ -84,8 +84,8 @@
     }
 
     /**
-     * Prompt tokens that are still to be read, ours and, where it told of a queue, others'. Of our own half are taken
-     * to be there until the first event: others' requests are read in between.
+     * Prompt tokens that are still to be read, ours and, where it told of a queue, others'. Of our own half
+     * are taken to be there until the first event: others' requests are read in between.
      */
     double backlogTokens(EngineSpeed speed, long nowNanos) {
         double read = Math.max(0, nowNanos - backlogAtNanos) * speed.tokensPerNano();
@@ -131,7 +131,8 @@
      * @param oursUnread those of them whose first event had not come
      * @param meanTokensToRead of a request, for those that wait there
      */
-    void onTold(ServerLoad told, int ours, int oursUnread, double meanTokensToRead, EngineSpeed speed, long atNanos) {
+    void onTold(ServerLoad told, int ours, int oursUnread, double meanTokensToRead, EngineSpeed speed,
+            long atNanos) {
         if (wasTold && atNanos - othersAtNanos < 0) {
             return;
         }
--- a/routing/src/main/java/burlarch/routing/Moves.java
+++ b/routing/src/main/java/burlarch/routing/Moves.java
@@ -79,7 +79,10 @@
         return best == null ? byChance(parts, nowNanos) : best;
     }
 
-    /** A store that may have got the parts just now, or whose events went missing: a miss costs next to nothing. */
+    /**
+     * A store that may have got the parts just now, or whose events went missing: a miss costs next to
+     * nothing.
+     */
     private Source byChance(List<PromptPart> parts, long nowNanos) {
         if (PromptScheduler.sharedTokens(parts) >= CostModel.CHANCE_TOKENS) {
             for (int i = 0; i < stores.size(); i++) {
--- a/routing/src/main/java/burlarch/routing/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/PromptScheduler.java
@@ -179,8 +179,8 @@
     }
 
     /**
-     * Model, wall and the first shared part that nobody keeps, whatever the weights: of requests that share a part
-     * that is not there yet only one engine reads it, and a new version leaves prompts in place.
+     * Model, wall and the first shared part that nobody keeps, whatever the weights: of requests that share a
+     * part that is not there yet only one engine reads it, and a new version leaves prompts in place.
      */
     static long placementKey(RouteRequest request, int known) {
         List<PromptPart> parts = request.parts();
--- a/routing/src/main/java/burlarch/routing/ReadingRate.java
+++ b/routing/src/main/java/burlarch/routing/ReadingRate.java
@@ -1,8 +1,8 @@
 package burlarch.routing;
 
 /**
- * How busy an instance has been with reading lately, for whatever router, by the parts that its events tell of. What
- * waits there is not told; the busier it was, the longer the queue that is to be expected.
+ * How busy an instance has been with reading lately, for whatever router, by the parts that its events tell
+ * of. What waits there is not told; the busier it was, the longer the queue that is to be expected.
  */
 final class ReadingRate {
     private static final double FADE_NANOS = 5e8;
