--- a/fleet/src/main/java/burlarch/fleet/engine/EngineHttp.java
+++ b/fleet/src/main/java/burlarch/fleet/engine/EngineHttp.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Makes the HTTP client for calls to engines beside requests, from parts that the process has already. */
@@ -19,7 +20,7 @@
     /** A started client. */
     public static HttpClient start(Executor executor, Scheduler scheduler, ByteBufferPool buffers)
             throws Exception {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new PlainConnector();
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
@@ -37,4 +38,16 @@
         client.getContentDecoderFactories().clear();
         return client;
     }
+
+    /** Engines are called without TLS: its providers and the system's certificates need not load. */
+    private static final class PlainConnector extends ClientConnector {
+        @Override
+        protected SslContextFactory.Client newSslContextFactory() {
+            return new SslContextFactory.Client() {
+                @Override
+                protected void doStart() {
+                }
+            };
+        }
+    }
 }
