--- a/cli/src/main/java/burlarch/cli/Main.java
+++ b/cli/src/main/java/burlarch/cli/Main.java
@@ -21,7 +21,9 @@
         footerHeading = "%nExit codes:%n", footer = {
             "  0  it did what it was asked to, and every rule and bar held",
             "  1  a rule or a bar was broken, or a run proves nothing; serve: it could not start",
-            "  2  it could not run: wrong arguments, files or addresses"})
+            "  2  it could not run: wrong arguments, files or addresses", "",
+            "Commands of the router fleet, each with --help:",
+            "  router, controller, check-settings, config, fleet-demo"})
 public final class Main {
     /** How a command ends that could not run. */
     static final int COULD_NOT_RUN = CommandLine.ExitCode.USAGE;
--- a/fleet/src/main/java/burlarch/fleet/Main.java
+++ b/fleet/src/main/java/burlarch/fleet/Main.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.NoSuchFileException;
+import java.util.Arrays;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -27,6 +28,7 @@
     static final int COULD_NOT_RUN = 2;
 
     private static final int USAGE_WIDTH = 100;
+    private static final String HELP = "--help";
     private static final String USAGE = """
             burlarch [--help] [--version] COMMAND
               router               runs a router, set up by the file that BURLARCH_NODE_FILE names
@@ -47,9 +49,6 @@
               3  the configuration is refused as invalid
               4  the configuration is refused since another version is in place""";
 
-    @Option(name = "--help", help = true)
-    private boolean help;
-
     @Option(name = "--version", help = true)
     private boolean version;
 
@@ -76,6 +75,10 @@
 
     /** Runs one command line. Programs that were started live on by their own threads. */
     static int execute(String[] arguments, PrintStream output, PrintStream errors) {
+        if (Arrays.asList(arguments).contains(HELP)) {
+            output.println(USAGE);
+            return DONE;
+        }
         Main main = new Main();
         try {
             new CmdLineParser(main, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH))
@@ -106,9 +109,7 @@
     }
 
     private void run(PrintStream output) throws Exception {
-        if (help) {
-            output.println(USAGE);
-        } else if (version) {
+        if (version) {
             output.println("burlarch " + version());
         } else {
             command.run(output);
--- a/fleet/src/test/java/burlarch/fleet/MainTest.java
+++ b/fleet/src/test/java/burlarch/fleet/MainTest.java
@@ -43,6 +43,16 @@
         assertThat(errors()).isEmpty();
     }
 
+    @Test
+    void eachCommandHasHelp() {
+        for (String command : new String[] {"router", "controller", "check-settings", "config"}) {
+            output.reset();
+            assertThat(run(command, "--help")).as(command).isEqualTo(Main.DONE);
+            assertThat(output()).contains(command, "Exit codes");
+        }
+        assertThat(errors()).isEmpty();
+    }
+
     @Test
     void theVersionIsANumber() {
         assertThat(run("--version")).isEqualTo(Main.DONE);
