--- a/routing/src/main/java/burlarch/routing/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/CostModel.java
@@ -23,7 +23,7 @@
     /** How many times its own length a move counts: moved memory is priced a little. */
     static final double MOVE_WEIGHT = 1.5;
     /** The same for reading what others keep: it costs a hundred times what moving the same tokens does. */
-    static final double REREAD_WEIGHT = 20;
+    static final double REREAD_WEIGHT = 12;
     /** Shared tokens from which a store's copy is worth its move. */
     static final int SAVE_TOKENS = 64;
     /** Counts each nanosecond beyond the aim, on top of itself: late answers lose most of their worth. */
@@ -39,7 +39,7 @@
     /** What is known of an engine whose events got lost counts for this part. */
     static final double UNCERTAIN = 0.8;
     /** The next engine by rendezvous is taken where the first costs more than the best by this. */
-    static final long RENDEZVOUS_SLACK_NANOS = 150_000_000L;
+    static final long RENDEZVOUS_SLACK_NANOS = 300_000_000L;
     /** What one engine counts of its running requests' kept tokens: running requests share them. */
     static final double KEPT_SHARE = 0.5;
     /** Part of the most tokens that a request is taken to put out. */
