--- a/fleet/src/main/java/burlarch/fleet/router/Exchange.java
+++ b/fleet/src/main/java/burlarch/fleet/router/Exchange.java
@@ -58,9 +58,8 @@
         return answer;
     }
 
-    /** Reads the request; the rest follows from that. */
+    /** Reads the request, once it is known where requests go; the rest follows from that. */
     void start() {
-        RouteTable table = context.table();
         if (request.getConnectionMetaData().getHttpVersion() != HttpVersion.HTTP_1_1) {
             end(505, null, true);
             return;
@@ -69,14 +68,22 @@
             end(400, null, true);
             return;
         }
+        request.addIdleTimeoutListener(timeout -> false);
+        request.addFailureListener(cause -> inTurn(this::clientGone));
+        context.startHold().pass(() -> inTurn(this::read));
+    }
+
+    private void read() {
+        if (over) {
+            return;
+        }
+        RouteTable table = context.table();
         if (table == null || context.refusing()) {
             end(503, SOON, context.refusing());
             return;
         }
         Limits limits = table.configuration().limits();
         int most = limits == null ? Integer.MAX_VALUE : limits.maxBodyBytes();
-        request.addIdleTimeoutListener(timeout -> false);
-        request.addFailureListener(cause -> inTurn(this::clientGone));
         if (request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > most) {
             onTooLarge();
             return;
--- a/fleet/src/main/java/burlarch/fleet/router/RouterContext.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterContext.java
@@ -11,6 +11,7 @@
     private final Scheduler scheduler;
     private final BodyBudget bodies = new BodyBudget();
     private final FailureLog failures = new FailureLog();
+    private final StartHold startHold;
     private final AtomicInteger open = new AtomicInteger();
     private volatile RouteTable table;
     private volatile boolean lastAnswers;
@@ -20,6 +21,7 @@
         this.gate = gate;
         this.client = client;
         this.scheduler = scheduler;
+        this.startHold = new StartHold(scheduler);
     }
 
     PlannerGate gate() {
@@ -42,6 +44,11 @@
         return failures;
     }
 
+    /** What requests pass before they are read. */
+    StartHold startHold() {
+        return startHold;
+    }
+
     /** Null until a configuration is there. */
     RouteTable table() {
         return table;
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -32,6 +32,8 @@
 /** A router: takes requests of clients and sends each to an instance. */
 public final class RouterProgram {
     private static final double NANOS_A_SECOND = 1e9;
+    /** A service of which nothing is heard for this long after the start has no instances. */
+    private static final long MOST_CLOSED_MILLIS = 1500;
 
     private RouterProgram() {
     }
@@ -103,8 +105,10 @@
         private final RouterServer server;
         private final FollowedSources sources;
         private final FleetSize size;
-        private boolean configured;
-        private boolean instancesTold;
+        private Configuration configuration;
+        private InstanceViews instances;
+        private boolean opening;
+        private boolean open;
 
         InForce(Planner planner, Object lock, RouterServer server, FollowedSources sources,
                 FleetSize size) {
@@ -118,10 +122,10 @@
         @Override
         public boolean onConfiguration(long version, byte[] json) {
             try {
-                Configuration configuration = ConfigurationDocument.parseTrusted(json);
-                server.onConfiguration(configuration);
-                sources.onConfiguration(configuration);
-                configured = true;
+                Configuration newer = ConfigurationDocument.parseTrusted(json);
+                server.onConfiguration(newer);
+                sources.onConfiguration(newer);
+                configuration = newer;
                 becomeReady();
                 return true;
             } catch (InvalidConfiguration unreadable) {
@@ -136,7 +140,7 @@
                 planner.onInstances(views.instances(), System.nanoTime());
             }
             sources.onInstances(views.instances());
-            instancesTold = true;
+            instances = views;
             becomeReady();
         }
 
@@ -146,8 +150,21 @@
         }
 
         private void becomeReady() {
-            if (configured && instancesTold) {
+            if (configuration != null && instances != null) {
                 server.setReady(true);
+                openInTime();
+            }
+        }
+
+        /** Requests pass once each service was heard of, and some time after the start in any case. */
+        private void openInTime() {
+            if (!open && ServiceCover.isWhole(configuration, instances.instances())) {
+                open = true;
+                server.open();
+            }
+            if (!opening) {
+                opening = true;
+                server.delays().schedule(server::open, MOST_CLOSED_MILLIS);
             }
         }
     }
--- a/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterServer.java
@@ -143,6 +143,11 @@
         context.table(table);
     }
 
+    /** Lets requests go on that came before it was known where they go; from now on none waits for that. */
+    public void open() {
+        context.startHold().open();
+    }
+
     /** Whether the platform may send clients. */
     public void setReady(boolean now) {
         ready = now;
--- a/fleet/src/test/java/burlarch/fleet/router/RouterFixture.java
+++ b/fleet/src/test/java/burlarch/fleet/router/RouterFixture.java
@@ -18,13 +18,26 @@
     final RouterServer router;
 
     RouterFixture(FakeEngine... engines) throws Exception {
+        this(true, engines);
+    }
+
+    /** @param informed whether it has been told where requests go */
+    RouterFixture(boolean informed, FakeEngine... engines) throws Exception {
         planner = new ScriptedPlanner(engines);
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
         router = new RouterServer(new RouterServerSettings(any, any, GRACE_MILLIS), planner, new Object(),
                 RouterFixture::table);
         router.start();
+        if (informed) {
+            inform();
+        }
+    }
+
+    /** Tells it where requests go. */
+    void inform() {
         router.onConfiguration(configuration());
         router.setReady(true);
+        router.open();
     }
 
     RawClient client() throws Exception {
