--- a/coordination/src/main/java/burlarch/coordination/registry/InstanceViews.java
+++ b/coordination/src/main/java/burlarch/coordination/registry/InstanceViews.java
@@ -50,26 +50,47 @@
 
     private void combine(String id) {
         Instance newest = null;
-        boolean loading = false;
         boolean live = false;
         for (Map<String, Instance> view : viewsByController.values()) {
             Instance instance = view.get(id);
             if (instance == null) {
                 continue;
             }
-            loading |= instance.state() == InstanceState.LOADING;
             live |= instance.state() != InstanceState.GONE;
             if (newest == null || isNewer(instance, newest)) {
                 newest = instance;
             }
         }
         if (newest != null) {
-            put(newest, loading, live);
+            put(newest, isLoading(newest), live);
         } else if (combined.containsKey(id) && combined.get(id).state() == InstanceState.LOADING) {
             combined.put(id, withState(combined.get(id), InstanceState.READY));
         }
     }
 
+    /** A mark by a controller that has not heard of weights that another heard of is over. */
+    private boolean isLoading(Instance newest) {
+        for (Map<String, Instance> view : viewsByController.values()) {
+            Instance instance = view.get(newest.id());
+            if (instance != null && instance.state() == InstanceState.LOADING
+                    && !hasNewerWeights(newest, instance)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean hasNewerWeights(Instance instance, Instance than) {
+        for (Instance.ServedModel served : instance.models()) {
+            for (Instance.ServedModel before : than.models()) {
+                if (served.name().equals(before.name()) && served.version() > before.version()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     private void put(Instance newest, boolean loading, boolean live) {
         boolean left = newest.sequence() == InstanceRegistry.LEFT;
         if (newest.state() == InstanceState.GONE && (left || !live)) {
--- a/coordination/src/main/java/burlarch/coordination/rollout/TrackedEngine.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/TrackedEngine.java
@@ -233,7 +233,7 @@
         reportPending = false;
     }
 
-    /** Without the ownership, its new holder is the one to let routers send again. */
+    /** A mark is this process's own: it ends it without the ownership too, as no other can. */
     private void finish(boolean owner, long now) {
         if (phase == Phase.WAITING && attempts == 1) {
             target.pace.onLoaded(now - sentAt);
@@ -241,10 +241,8 @@
         clear(now);
         if (owner && behind(target)) {
             begin(target, now);
-        } else if (owner) {
-            unmark(now);
         } else {
-            marked = false;
+            unmark(now);
         }
     }
 
--- a/coordination/src/test/java/burlarch/coordination/registry/InstanceViewsTest.java
+++ b/coordination/src/test/java/burlarch/coordination/registry/InstanceViewsTest.java
@@ -71,4 +71,25 @@
         views.onControllerLost("b");
         assertThat(state()).isEqualTo(InstanceState.READY);
     }
+
+    private void toldOfWeights(String controller, InstanceState state, long sequence, long version) {
+        views.onUpdate(controller, false, List.of(new Instance("i-1", "models", "10.0.0.1:80", "zone", "v1", 8,
+                state, 0, List.of(new Instance.ServedModel("m", version)), sequence)));
+    }
+
+    @Test
+    void aMarkOfLoadingEndsWhenAnotherControllerHeardOfNewerWeights() {
+        toldOfWeights("cut", InstanceState.LOADING, 4, 1);
+        toldOfWeights("b", InstanceState.READY, 5, 1);
+        assertThat(state()).isEqualTo(InstanceState.LOADING);
+        toldOfWeights("b", InstanceState.READY, 6, 2);
+        assertThat(state()).isEqualTo(InstanceState.READY);
+    }
+
+    @Test
+    void aMarkOfLoadingForYetNewerWeightsHolds() {
+        toldOfWeights("b", InstanceState.READY, 6, 2);
+        toldOfWeights("a", InstanceState.LOADING, 6, 2);
+        assertThat(state()).isEqualTo(InstanceState.LOADING);
+    }
 }
