--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -33,6 +33,7 @@
         if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterUp(connection, parts.peers().knownAddresses());
             parts.reads().onRouterUp(connection);
+            parts.kept().onRouterUp(connection);
         } else if (connection.peer().role().equals(Roles.CONTROLLER)) {
             parts.peers().onUp(connection);
             connection.send(status());
@@ -44,6 +45,7 @@
         if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterDown(connection, parts.peers().knownAddresses());
             parts.reads().onRouterDown(connection);
+            parts.kept().onRouterDown(connection);
         } else {
             parts.peers().onDown(connection);
             parts.instances().onPeerLost();
@@ -52,7 +54,9 @@
 
     @Override
     public void onMessage(Connection connection, NodeMessage message) {
-        if (message instanceof NodeMessage.Register register) {
+        if (message instanceof NodeMessage.KeptParts kept) {
+            parts.kept().onKeptParts(connection, kept);
+        } else if (message instanceof NodeMessage.Register register) {
             parts.driver().onMessage(connection, register.message());
         } else if (message instanceof Decided decided) {
             parts.decided().adopt(decided.ballot(), decided.value(), false);
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -101,7 +101,8 @@
         });
         startWeightsDuty(settings, loop, decided, register, registry, publisher,
                 new OwnerWatch(peers, controllers, own.address()), own, proposerName);
-        messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
+        messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances,
+                new KeptForwarder(loop, transport.codec())));
         peers.learn(seeds);
         SettingsWatch.start(newer -> loop.execute(() -> peers.learn(NodeAddresses.seeds(newer))));
         peers.learn(firstMembers.stream().map(Member::address).toList());
--- a/fleet/src/main/java/burlarch/fleet/engine/EventFollower.java
+++ b/fleet/src/main/java/burlarch/fleet/engine/EventFollower.java
@@ -1,6 +1,5 @@
 package burlarch.fleet.engine;
 
-import burlarch.routing.KvEvents;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /**
@@ -52,8 +52,17 @@
         this.random = random;
     }
 
-    /** The whole set of sources from now on; those that stay are not disturbed. */
-    public synchronized void follow(Collection<Source> sources) {
+    /** The whole set of sources from now on, new ones from their oldest event. */
+    public void follow(Collection<Source> sources) {
+        follow(sources, source -> null);
+    }
+
+    /**
+     * The whole set of sources from now on; those that stay are not disturbed.
+     *
+     * @param positions how far a source's events are known by its name, or null where they are not
+     */
+    public synchronized void follow(Collection<Source> sources, Function<String, KvPosition> positions) {
         Set<Source> wanted = new HashSet<>(sources);
         for (Iterator<Following> all = followed.values().iterator(); all.hasNext();) {
             Following following = all.next();
@@ -63,7 +72,7 @@
             }
         }
         for (Source source : wanted) {
-            Following following = new Following(source);
+            Following following = new Following(source, positions.apply(source.name()));
             Following replaced = followed.put(source.name(), following);
             if (replaced != null) {
                 replaced.stopped = true;
@@ -86,10 +95,13 @@
         private long started;
         private boolean listing;
 
-        Following(Source source) {
+        Following(Source source, KvPosition known) {
             this.source = source;
             this.address = new EngineAddress(source.store() ? null : source.name(), source.address());
             this.progress = new SourceProgress(source.name(), random, clock.getAsLong());
+            if (known != null) {
+                progress.goOnFrom(known);
+            }
         }
 
         @Override
@@ -125,16 +137,9 @@
         }
 
         private void handOn(KvAnswer answer, long now) {
-            if (listing) {
-                KvEvents list = progress.onListed(answer, now);
-                if (list != null) {
-                    reader.onKvList(list);
-                }
-                return;
-            }
-            KvEvents events = progress.onPolled(answer, started, now);
-            if (events != null) {
-                reader.onKvEvents(events);
+            KvNews news = listing ? progress.onListed(answer, now) : progress.onPolled(answer, started, now);
+            if (news != null) {
+                reader.onKvNews(news);
             }
         }
     }
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/engine/KvPosition.java
@@ -0,0 +1,9 @@
+package burlarch.fleet.engine;
+
+/**
+ * How far the events of a source are known.
+ *
+ * @param next the {@code since} from which the rest comes
+ */
+public record KvPosition(long epoch, long next) {
+}
--- a/fleet/src/main/java/burlarch/fleet/engine/KvReader.java
+++ b/fleet/src/main/java/burlarch/fleet/engine/KvReader.java
@@ -1,12 +1,7 @@
 package burlarch.fleet.engine;
 
-import burlarch.routing.KvEvents;
-
 /** Takes what is told of kept parts. The calls for one source come one after another. */
 public interface KvReader {
-    /** Events in their order. A new epoch voids all that was known of the source. */
-    void onKvEvents(KvEvents events);
-
-    /** The whole of what a source keeps. */
-    void onKvList(KvEvents list);
+    /** Events in their order, or the whole of what is kept. A new epoch voids all that was known of the source. */
+    void onKvNews(KvNews news);
 }
--- a/fleet/src/main/java/burlarch/fleet/engine/SourceProgress.java
+++ b/fleet/src/main/java/burlarch/fleet/engine/SourceProgress.java
@@ -26,6 +26,8 @@
     private boolean met;
     private long epoch;
     private long since;
+    /** The {@code since} that goes with what was handed on last. */
+    private long handedOn;
     private long notBefore;
     private int failures;
     private boolean listWanted;
@@ -39,6 +41,14 @@
         this.notBefore = now;
     }
 
+    /** Goes on from where others have read it, rather than from the oldest event that is left. */
+    void goOnFrom(KvPosition position) {
+        met = true;
+        epoch = position.epoch();
+        since = position.next();
+        handedOn = since;
+    }
+
     /** The {@code since} of the next call for events. */
     long since() {
         return since;
@@ -55,7 +65,7 @@
     }
 
     /** An answer to a call for events that began at {@code started}: what is to be handed on, or null. */
-    KvEvents onPolled(KvAnswer answer, long started, long now) {
+    KvNews onPolled(KvAnswer answer, long started, long now) {
         if (answer.status() != KvAnswer.Status.OK) {
             onFailure(answer.status(), now);
             return null;
@@ -71,18 +81,24 @@
             since = 0;
             listWanted = false;
             notBefore = now;
-            return new KvEvents(source, epoch, false, List.of());
+            handedOn = 0;
+            return new KvNews(new KvEvents(source, epoch, false, List.of()), false, 0, 0);
         }
         since = answer.next();
         if (answer.lost()) {
             wantList(now);
         }
         boolean news = changed || answer.lost() || !answer.events().isEmpty();
-        return news ? new KvEvents(source, epoch, answer.lost(), answer.events()) : null;
+        if (!news) {
+            return null;
+        }
+        long from = handedOn;
+        handedOn = since;
+        return new KvNews(new KvEvents(source, epoch, answer.lost(), answer.events()), false, from, since);
     }
 
     /** An answer to a call for the list: what is to be handed on, or null. */
-    KvEvents onListed(KvAnswer answer, long now) {
+    KvNews onListed(KvAnswer answer, long now) {
         listed = true;
         listNotBefore = now + spread(LIST_INTERVAL);
         if (answer.status() != KvAnswer.Status.OK) {
@@ -94,8 +110,9 @@
         met = true;
         epoch = answer.epoch();
         since = answer.next();
+        handedOn = since;
         notBefore = now;
-        return new KvEvents(source, epoch, false, answer.events());
+        return new KvNews(new KvEvents(source, epoch, false, answer.events()), true, since, since);
     }
 
     private void wantList(long now) {
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/kept/BatchCodec.java
@@ -0,0 +1,208 @@
+package burlarch.fleet.kept;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import burlarch.fleet.engine.KvNews;
+import burlarch.routing.KvEvents;
+import burlarch.routing.KvEvents.KvEvent;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What routers pass on to one another, as bytes: a version, the salts as texts, then for each piece of news its
+ * source, epoch, place and events. Numbers are varints of seven bits a byte, the low ones first; ids of parts
+ * have four bytes where these suffice and eight otherwise. The model of an event is left out: the salt names it.
+ */
+public final class BatchCodec {
+    private static final int VERSION = 1;
+    private static final int LIST = 1;
+    private static final int LOST = 2;
+    private static final int ADDED = 1;
+    private static final int WIDE = 2;
+    private static final int FLAG_BITS = 2;
+    private static final int MOST_TEXT_BYTES = 1_024;
+
+    private BatchCodec() {
+    }
+
+    /** Bytes that are no batch of this version. */
+    public static final class GarbledBatch extends Exception {
+        private static final long serialVersionUID = 1;
+
+        GarbledBatch(String message) {
+            super(message);
+        }
+    }
+
+    public static byte[] encode(List<KvNews> batch) {
+        Map<String, Integer> salts = salts(batch);
+        Output out = new Output();
+        out.write(VERSION);
+        out.number(salts.size());
+        salts.keySet().forEach(out::text);
+        out.number(batch.size());
+        for (KvNews news : batch) {
+            encode(news, salts, out);
+        }
+        return out.toByteArray();
+    }
+
+    private static Map<String, Integer> salts(List<KvNews> batch) {
+        Map<String, Integer> salts = new LinkedHashMap<>();
+        for (KvNews news : batch) {
+            for (KvEvent event : news.kept().events()) {
+                salts.putIfAbsent(event.salt(), salts.size());
+            }
+        }
+        return salts;
+    }
+
+    private static void encode(KvNews news, Map<String, Integer> salts, Output out) {
+        KvEvents kept = news.kept();
+        out.write((news.list() ? LIST : 0) | (kept.lost() ? LOST : 0));
+        out.text(kept.source());
+        out.number(kept.epoch());
+        out.number(news.since());
+        out.number(news.next() - news.since());
+        out.number(kept.events().size());
+        for (KvEvent event : kept.events()) {
+            boolean wide = event.part() >>> Integer.SIZE != 0;
+            int flags = (event.added() ? ADDED : 0) | (wide ? WIDE : 0);
+            out.number((long) salts.get(event.salt()) << FLAG_BITS | flags);
+            out.fixed(event.part(), wide ? Long.BYTES : Integer.BYTES);
+            out.number(event.tokens());
+        }
+    }
+
+    /** Reads what {@link #encode} made. */
+    public static List<KvNews> decode(byte[] bytes) throws GarbledBatch {
+        Input in = new Input(bytes);
+        try {
+            return decode(in);
+        } catch (IndexOutOfBoundsException e) {
+            throw new GarbledBatch("cut off after " + bytes.length + " bytes");
+        }
+    }
+
+    private static List<KvNews> decode(Input in) throws GarbledBatch {
+        if (in.next() != VERSION) {
+            throw new GarbledBatch("another version");
+        }
+        int count = in.count();
+        String[] salts = new String[count];
+        for (int i = 0; i < count; i++) {
+            salts[i] = in.text();
+        }
+        int pieces = in.count();
+        List<KvNews> batch = new ArrayList<>(pieces);
+        for (int i = 0; i < pieces; i++) {
+            batch.add(news(in, salts));
+        }
+        return batch;
+    }
+
+    private static KvNews news(Input in, String[] salts) throws GarbledBatch {
+        int flags = in.next();
+        String source = in.text();
+        long epoch = in.number();
+        long since = in.number();
+        long next = since + in.number();
+        int count = in.count();
+        List<KvEvent> events = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            long head = in.number();
+            String salt = salts[(int) Math.min(head >>> FLAG_BITS, Integer.MAX_VALUE)];
+            long part = in.fixed((head & WIDE) != 0 ? Long.BYTES : Integer.BYTES);
+            events.add(new KvEvent((head & ADDED) != 0, salt, part, (int) in.number(), ""));
+        }
+        return new KvNews(new KvEvents(source, epoch, (flags & LOST) != 0, events), (flags & LIST) != 0, since,
+                next);
+    }
+
+    private static final class Output extends ByteArrayOutputStream {
+        private static final int INITIAL_BYTES = 512;
+
+        Output() {
+            super(INITIAL_BYTES);
+        }
+
+        void number(long value) {
+            long rest = value;
+            while ((rest & ~0x7FL) != 0) {
+                write((int) (rest & 0x7F | 0x80));
+                rest >>>= 7;
+            }
+            write((int) rest);
+        }
+
+        void fixed(long value, int size) {
+            for (int shift = (size - 1) * Byte.SIZE; shift >= 0; shift -= Byte.SIZE) {
+                write((int) (value >>> shift));
+            }
+        }
+
+        void text(String text) {
+            byte[] bytes = text.getBytes(UTF_8);
+            number(bytes.length);
+            write(bytes, 0, bytes.length);
+        }
+    }
+
+    /** Every read beyond the end throws IndexOutOfBoundsException. */
+    private static final class Input {
+        private static final int MOST_SHIFT = 63;
+
+        private final byte[] bytes;
+        private int at;
+
+        Input(byte[] bytes) {
+            this.bytes = bytes;
+        }
+
+        int next() {
+            return bytes[at++] & 0xff;
+        }
+
+        long number() throws GarbledBatch {
+            long value = 0;
+            for (int shift = 0; shift <= MOST_SHIFT; shift += 7) {
+                int read = next();
+                value |= (long) (read & 0x7F) << shift;
+                if (read < 0x80) {
+                    return value;
+                }
+            }
+            throw new GarbledBatch("a number without end");
+        }
+
+        /** Of things that take a byte each at the least. */
+        int count() throws GarbledBatch {
+            long count = number();
+            if (count < 0 || count > bytes.length - at) {
+                throw new GarbledBatch("a count of " + count);
+            }
+            return (int) count;
+        }
+
+        long fixed(int size) {
+            long value = 0;
+            for (int i = 0; i < size; i++) {
+                value = value << Byte.SIZE | next();
+            }
+            return value;
+        }
+
+        String text() throws GarbledBatch {
+            int length = count();
+            if (length > MOST_TEXT_BYTES) {
+                throw new GarbledBatch("a text of " + length + " bytes");
+            }
+            String text = new String(bytes, at, length, UTF_8);
+            at += length;
+            return text;
+        }
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -1,5 +1,6 @@
 package burlarch.fleet.router;
 
+import burlarch.coordination.ownership.ShardOwners;
 import burlarch.coordination.registry.InstanceViews;
 import burlarch.settings.Addresses;
 import burlarch.transport.Connection;
@@ -9,6 +10,7 @@
 import burlarch.transport.NodeMessage.FleetUpdate;
 import burlarch.transport.NodeMessage.InstancesAck;
 import burlarch.transport.NodeMessage.InstancesUpdate;
+import burlarch.transport.NodeMessage.KeptParts;
 import burlarch.transport.NodeTransport;
 import java.util.Collection;
 import java.util.HashMap;
@@ -34,6 +36,9 @@
 
         /** Controllers tell how many routers are connected with them. */
         void onRouters(int live);
+
+        /** What another router read of kept parts. */
+        void onKeptParts(byte[] batch);
     }
 
     private final Effects effects;
@@ -73,6 +78,20 @@
         return version > 0 && toldInstances;
     }
 
+    /** The controller through which that router passes on what it reads, or null where none is connected. */
+    Connection relayFor(String router) {
+        Connection best = null;
+        double most = -1;
+        for (Connection connection : routersSeen.keySet()) {
+            double score = ShardOwners.unit(connection.peer().nodeName(), router);
+            if (score > most) {
+                most = score;
+                best = connection;
+            }
+        }
+        return best;
+    }
+
     @Override
     public void onUp(Connection connection) {
         Logger.info("controller {} connected", connection.peer().nodeName());
@@ -92,6 +111,8 @@
             learn(update.controllers());
             routersSeen.put(connection, update.routers());
             tellRouters();
+        } else if (message instanceof KeptParts parts) {
+            effects.onKeptParts(parts.batch());
         }
     }
 
--- a/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
+++ b/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
@@ -2,37 +2,35 @@
 
 import burlarch.configuration.Configuration;
 import burlarch.configuration.Configuration.Service;
-import burlarch.coordination.ownership.ShardOwners;
+import burlarch.coordination.membership.MemberInfo;
 import burlarch.coordination.registry.Instance;
 import burlarch.fleet.engine.EventFollower;
 import burlarch.fleet.engine.EventFollower.Source;
+import burlarch.fleet.kept.SourceOwners;
+import burlarch.fleet.node.Roles;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
-/**
- * Which engines and stores this router follows. Each of them holds few calls at once: where there are more
- * routers than it may hold calls, each router follows a part, chosen so that every source has about as many
- * followers as it bears. Lives on the loop.
- */
+/** Which engines and stores this router follows, as {@link SourceOwners} says. Lives on the loop. */
 final class FollowedSources {
-    /**
-     * Places at a source that are left to others, and to calls that have not ended yet when the next one
-     * begins.
-     */
-    private static final int PLACES_LEFT = 2;
-
     private final String nodeName;
     private final EventFollower follower;
+    private final IndexFeed feed;
     private Configuration configuration;
     private Collection<Instance> instances = List.of();
     private int routers = 1;
+    private Set<String> others = Set.of();
+    private volatile Set<String> shared = Set.of();
 
-    FollowedSources(String nodeName, EventFollower follower) {
+    FollowedSources(String nodeName, EventFollower follower, IndexFeed feed) {
         this.nodeName = nodeName;
         this.follower = follower;
+        this.feed = feed;
     }
 
     void onConfiguration(Configuration newer) {
@@ -52,34 +50,62 @@
         }
     }
 
+    /** The live members without this one. */
+    void onMembers(Collection<MemberInfo> members) {
+        Set<String> names = new HashSet<>();
+        for (MemberInfo member : members) {
+            if (member.role().equals(Roles.ROUTER)) {
+                names.add(member.name());
+            }
+        }
+        if (!names.equals(others)) {
+            others = names;
+            follow();
+        }
+    }
+
+    /** Whether one router reads that source for all; from any thread. */
+    boolean isShared(String source) {
+        return shared.contains(source);
+    }
+
     private void follow() {
         if (configuration == null) {
             return;
         }
+        SourceOwners owners = new SourceOwners(nodeName, routers, others);
         Map<String, Service> services = new HashMap<>();
-        List<Source> sources = new ArrayList<>();
+        Map<Source, Integer> places = new HashMap<>();
         for (Service service : configuration.services()) {
             services.put(service.name(), service);
-            if (service.kvStore() != null && mayFollow(service.name(), service.maxInFlight())) {
-                sources.add(new Source(service.name(), service.kvStore(), true));
+            if (service.kvStore() != null) {
+                places.put(new Source(service.name(), service.kvStore(), true), service.maxInFlight());
             }
         }
         for (Instance instance : instances) {
             Service service = services.get(instance.service());
-            if (service != null && service.engine() != null
-                    && mayFollow(instance.id(), service.engine().maxInFlight())) {
-                sources.add(new Source(instance.id(), instance.address(), false));
+            if (service != null && service.engine() != null) {
+                places.put(new Source(instance.id(), instance.address(), false), service.engine().maxInFlight());
             }
         }
-        follower.follow(sources);
+        follow(owners, places);
     }
 
-    private boolean mayFollow(String source, int places) {
-        int followers = Math.max(1, places - PLACES_LEFT);
-        if (routers <= followers) {
-            return true;
-        }
-        double part = (double) followers / routers;
-        return ShardOwners.unit(nodeName, source) < part;
+    private void follow(SourceOwners owners, Map<Source, Integer> places) {
+        List<Source> own = new ArrayList<>();
+        Set<String> sharedNow = new HashSet<>();
+        Set<String> known = new HashSet<>();
+        places.forEach((source, held) -> {
+            known.add(source.name());
+            if (owners.isShared(held)) {
+                sharedNow.add(source.name());
+            }
+            if (owners.reads(source.name(), held)) {
+                own.add(source);
+            }
+        });
+        shared = sharedNow;
+        feed.retain(known);
+        follower.follow(own, feed::position);
     }
 }
--- a/fleet/src/main/java/burlarch/fleet/router/IndexFeed.java
+++ b/fleet/src/main/java/burlarch/fleet/router/IndexFeed.java
@@ -1,30 +1,49 @@
 package burlarch.fleet.router;
 
-import burlarch.fleet.engine.KvReader;
-import burlarch.routing.KvEvents;
+import burlarch.fleet.engine.KvNews;
+import burlarch.fleet.engine.KvPosition;
+import burlarch.fleet.kept.SourcePositions;
 import burlarch.routing.Planner;
+import java.util.Set;
 
-/** Hands what engines and stores tell of kept parts to the planner, under its lock. */
-final class IndexFeed implements KvReader {
+/** Hands what engines and stores tell of kept parts to the planner, under its lock; nothing twice. */
+final class IndexFeed {
     private final Planner planner;
     private final Object lock;
+    private final SourcePositions positions = new SourcePositions();
 
     IndexFeed(Planner planner, Object lock) {
         this.planner = planner;
         this.lock = lock;
     }
 
-    @Override
-    public void onKvEvents(KvEvents events) {
+    /** @return whether it was new here */
+    boolean takeIn(KvNews news) {
         synchronized (lock) {
-            planner.onKvEvents(events, System.nanoTime());
+            KvNews fresh = positions.accept(news);
+            if (fresh == null) {
+                return false;
+            }
+            if (fresh.list()) {
+                planner.onKvList(fresh.kept(), System.nanoTime());
+            } else {
+                planner.onKvEvents(fresh.kept(), System.nanoTime());
+            }
+            return true;
         }
     }
 
-    @Override
-    public void onKvList(KvEvents list) {
+    /** How far the source is known, or null where it is not. */
+    KvPosition position(String source) {
         synchronized (lock) {
-            planner.onKvList(list, System.nanoTime());
+            return positions.of(source);
+        }
+    }
+
+    /** Forgets how far all sources but these are known. */
+    void retain(Set<String> sources) {
+        synchronized (lock) {
+            positions.retain(sources);
         }
     }
 }
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/router/KeptRelay.java
@@ -0,0 +1,80 @@
+package burlarch.fleet.router;
+
+import burlarch.fleet.engine.KvNews;
+import burlarch.fleet.engine.KvReader;
+import burlarch.fleet.kept.BatchCodec;
+import burlarch.fleet.kept.BatchCodec.GarbledBatch;
+import burlarch.fleet.kept.OutgoingBatch;
+import burlarch.transport.Connection;
+import burlarch.transport.NodeLoop;
+import burlarch.transport.NodeMessage.KeptParts;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/**
+ * Takes in what this router read of kept parts and what others did, and passes on the former through one
+ * controller where the others do not read it themselves.
+ */
+final class KeptRelay implements KvReader {
+    private final NodeLoop loop;
+    private final IndexFeed feed;
+    private final OutgoingBatch batch = new OutgoingBatch();
+    private volatile Predicate<String> shared = source -> false;
+    private Supplier<Connection> controller = () -> null;
+
+    KeptRelay(NodeLoop loop, IndexFeed feed) {
+        this.loop = loop;
+        this.feed = feed;
+    }
+
+    /**
+     * To be called once, on the loop.
+     *
+     * @param sharedSources tells from any thread whether others wait to be told of that source
+     * @param through the controller to send through; null where none is connected
+     */
+    void start(Predicate<String> sharedSources, Supplier<Connection> through) {
+        controller = through;
+        shared = sharedSources;
+    }
+
+    @Override
+    public void onKvNews(KvNews news) {
+        if (feed.takeIn(news) && shared.test(news.kept().source())) {
+            loop.execute(() -> passOn(news));
+        }
+    }
+
+    /** Another router's batch came. */
+    void onBatch(byte[] bytes) {
+        List<KvNews> told;
+        try {
+            told = BatchCodec.decode(bytes);
+        } catch (GarbledBatch e) {
+            Logger.warn("kept parts that cannot be read: {}", e.getMessage());
+            return;
+        }
+        for (int i = 0; i < told.size(); i++) {
+            feed.takeIn(told.get(i));
+        }
+    }
+
+    private void passOn(KvNews news) {
+        boolean first = batch.add(news);
+        if (batch.isFull()) {
+            send();
+        } else if (first) {
+            loop.schedule(OutgoingBatch.DELAY_NANOS, this::send);
+        }
+    }
+
+    private void send() {
+        List<KvNews> waiting = batch.take();
+        Connection through = waiting.isEmpty() ? null : controller.get();
+        if (through != null) {
+            through.send(new KeptParts(BatchCodec.encode(waiting)));
+        }
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -45,15 +45,17 @@
                 settings.listen().readiness(), graceMillis), planner, lock, IndexedRouteTable::of);
         server.start();
         NodeLoop loop = new NodeLoop("node");
-        EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()),
-                new IndexFeed(planner, lock), server.delays(), System::nanoTime,
+        IndexFeed feed = new IndexFeed(planner, lock);
+        KeptRelay relay = new KeptRelay(loop, feed);
+        EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()), relay, server.delays(), System::nanoTime,
                 () -> ThreadLocalRandom.current().nextDouble());
-        FollowedSources sources = new FollowedSources(settings.nodeName(), follower);
+        FollowedSources sources = new FollowedSources(settings.nodeName(), follower, feed);
         FleetSize size = new FleetSize(loop, new RouterCount(
                 BudgetSettings.forWindow(settings.bounds().budgetWindowNanos()), settings.bootstrap(),
                 loop.nanoTime()), sharers -> tellPlanner(planner, lock, sharers), sources::onRouters);
-        ControllerLinks links = new ControllerLinks(new InForce(planner, lock, server, sources, size));
-        Membership membership = join(settings, loop, links, size);
+        ControllerLinks links = new ControllerLinks(new InForce(planner, lock, server, sources, size, relay));
+        Membership membership = join(settings, loop, links, size, sources);
+        loop.execute(() -> relay.start(sources::isShared, () -> links.relayFor(settings.nodeName())));
         SettingsWatch.start(newer -> loop.execute(() -> links.learn(NodeAddresses.seeds(newer))));
         Shutdown.onSignal(() -> {
             server.drain().join();
@@ -63,8 +65,8 @@
     }
 
     /** Connects with the controllers and joins the members. */
-    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links, FleetSize size)
-            throws IOException {
+    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links, FleetSize size,
+            FollowedSources sources) throws IOException {
         String address = NodeAddresses.own(settings);
         List<String> seeds = NodeAddresses.seeds(settings);
         UUID incarnation = UUID.randomUUID();
@@ -77,6 +79,7 @@
             links.start(transport, seeds);
             size.start(links::reachesMostControllers);
             membership.addListener(size);
+            membership.addListener(changes -> sources.onMembers(membership.members()));
             membership.addListener(changes -> links.learn(Membership.appeared(changes, Roles.CONTROLLER)));
             membership.start();
         });
@@ -103,11 +106,13 @@
         private final RouterServer server;
         private final FollowedSources sources;
         private final FleetSize size;
+        private final KeptRelay relay;
         private boolean configured;
         private boolean instancesTold;
 
         InForce(Planner planner, Object lock, RouterServer server, FollowedSources sources,
-                FleetSize size) {
+                FleetSize size, KeptRelay relay) {
+            this.relay = relay;
             this.sources = sources;
             this.size = size;
             this.planner = planner;
@@ -145,6 +150,11 @@
             size.onTold(live);
         }
 
+        @Override
+        public void onKeptParts(byte[] batch) {
+            relay.onBatch(batch);
+        }
+
         private void becomeReady() {
             if (configured && instancesTold) {
                 server.setReady(true);
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/kept/BatchCodecTest.java
@@ -0,0 +1,62 @@
+package burlarch.fleet.kept;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import burlarch.fleet.engine.KvNews;
+import burlarch.fleet.kept.BatchCodec.GarbledBatch;
+import burlarch.routing.KvEvents;
+import burlarch.routing.KvEvents.KvEvent;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class BatchCodecTest {
+    private static final KvNews EVENTS = new KvNews(new KvEvents("engine-1", -5, true, List.of(
+            new KvEvent(true, "m|3|tenant", 0x5C1E07A2L, 800, ""),
+            new KvEvent(false, "m|3", -1, 0, ""),
+            new KvEvent(true, "m|3|tenant", Long.MAX_VALUE, Integer.MAX_VALUE, ""))), false, 118, 121);
+    private static final KvNews LIST = new KvNews(new KvEvents("store", Long.MAX_VALUE, false, List.of()), true,
+            1L << 40, 1L << 40);
+
+    @Test
+    void whatIsPassedOnComesBack() throws GarbledBatch {
+        List<KvNews> batch = List.of(EVENTS, LIST);
+        assertThat(BatchCodec.decode(BatchCodec.encode(batch))).isEqualTo(batch);
+        assertThat(BatchCodec.decode(BatchCodec.encode(List.of()))).isEmpty();
+    }
+
+    @Test
+    void anEventTakesSevenBytes() {
+        List<KvEvent> many = IntStream.range(0, 100)
+                .mapToObj(i -> new KvEvent(true, "m|3", 0xF0000000L + i, 2_000, "model")).toList();
+        KvNews news = new KvNews(new KvEvents("engine-1", 7, false, many), false, 0, 100);
+        assertThat(BatchCodec.encode(List.of(news))).hasSizeLessThan(100 * 7 + 25);
+    }
+
+    @Test
+    void everyCutIsNoticed() {
+        byte[] whole = BatchCodec.encode(List.of(EVENTS, LIST));
+        for (int length = 0; length < whole.length; length++) {
+            byte[] cut = Arrays.copyOf(whole, length);
+            assertThatThrownBy(() -> BatchCodec.decode(cut)).isInstanceOf(GarbledBatch.class);
+        }
+    }
+
+    @Test
+    void flippedBytesNeverThrowAnythingElse() {
+        byte[] whole = BatchCodec.encode(List.of(EVENTS, LIST));
+        Random random = new Random(1);
+        for (int trial = 0; trial < 5_000; trial++) {
+            byte[] flipped = whole.clone();
+            flipped[random.nextInt(whole.length)] = (byte) random.nextInt();
+            try {
+                assertThat(BatchCodec.decode(flipped)).isNotNull();
+            } catch (GarbledBatch e) {
+                assertThat(e.getMessage()).isNotEmpty();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/kept/OutgoingBatchTest.java
@@ -0,0 +1,46 @@
+package burlarch.fleet.kept;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.fleet.engine.KvNews;
+import burlarch.routing.KvEvents;
+import burlarch.routing.KvEvents.KvEvent;
+import java.util.Collections;
+import org.junit.jupiter.api.Test;
+
+class OutgoingBatchTest {
+    private final OutgoingBatch batch = new OutgoingBatch();
+
+    private static KvNews news(int events) {
+        KvEvent event = new KvEvent(true, "s", 1, 16, "");
+        return new KvNews(new KvEvents("e", 7, false, Collections.nCopies(events, event)), false, 0, events);
+    }
+
+    @Test
+    void theFirstBeginsTheWait() {
+        assertThat(batch.add(news(1))).isTrue();
+        assertThat(batch.add(news(1))).isFalse();
+        assertThat(batch.isFull()).isFalse();
+        assertThat(batch.take()).hasSize(2);
+        assertThat(batch.take()).isEmpty();
+        assertThat(batch.add(news(1))).isTrue();
+    }
+
+    @Test
+    void muchLeavesAtOnce() {
+        batch.add(news(63));
+        assertThat(batch.isFull()).isFalse();
+        batch.add(news(1));
+        assertThat(batch.isFull()).isTrue();
+        batch.take();
+        assertThat(batch.isFull()).isFalse();
+    }
+
+    @Test
+    void piecesWithoutEventsFillItToo() {
+        for (int i = 0; i < 64; i++) {
+            batch.add(news(0));
+        }
+        assertThat(batch.isFull()).isTrue();
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/kept/SharedReadingTest.java
@@ -0,0 +1,178 @@
+package burlarch.fleet.kept;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.fleet.engine.KvNews;
+import burlarch.fleet.engine.KvPosition;
+import burlarch.fleet.kept.BatchCodec.GarbledBatch;
+import burlarch.routing.KvEvents;
+import burlarch.routing.KvEvents.KvEvent;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** Many routers, sources that tell of parts, owners that die at any moment and batches that are lost. */
+class SharedReadingTest {
+    private static final int ROUTERS = 30;
+    private static final int SOURCES = 20;
+    private static final int PLACES = 12;
+
+    private final Random random = new Random(4);
+    private final Map<String, VirtualSource> sources = new TreeMap<>();
+    private final Map<String, VirtualRouter> routers = new TreeMap<>();
+    private double batchLoss;
+
+    private static final class VirtualSource {
+        final List<KvEvent> events = new ArrayList<>();
+        final Set<Long> kept = new HashSet<>();
+        long epoch = 1;
+
+        void act(Random random) {
+            long part = random.nextInt(40);
+            boolean adds = kept.add(part);
+            if (!adds) {
+                kept.remove(part);
+            }
+            events.add(new KvEvent(adds, "s", part, adds ? 16 : 0, ""));
+        }
+
+        void restart() {
+            epoch++;
+            events.clear();
+            kept.clear();
+        }
+
+        KvNews read(String name, KvPosition known) {
+            long since = known == null || known.epoch() != epoch ? 0 : known.next();
+            return new KvNews(new KvEvents(name, epoch, false, List.copyOf(events.subList((int) since, events.size()))),
+                    false, since, events.size());
+        }
+    }
+
+    private static final class VirtualRouter {
+        final SourcePositions positions = new SourcePositions();
+        final Map<String, Set<Long>> kept = new HashMap<>();
+        final Map<String, Long> epochs = new HashMap<>();
+        final Set<String> uncertain = new HashSet<>();
+
+        boolean takeIn(KvNews news) {
+            KvNews fresh = positions.accept(news);
+            if (fresh == null) {
+                return false;
+            }
+            String source = fresh.kept().source();
+            Set<Long> parts = kept.computeIfAbsent(source, name -> new HashSet<>());
+            Long epoch = epochs.put(source, fresh.kept().epoch());
+            if (epoch != null && epoch != fresh.kept().epoch()) {
+                parts.clear();
+            }
+            if (fresh.kept().lost()) {
+                uncertain.add(source);
+            }
+            for (KvEvent event : fresh.kept().events()) {
+                if (event.added()) {
+                    parts.add(event.part());
+                } else {
+                    parts.remove(event.part());
+                }
+            }
+            return true;
+        }
+    }
+
+    SharedReadingTest() {
+        for (int i = 0; i < SOURCES; i++) {
+            sources.put("engine-" + i, new VirtualSource());
+        }
+        for (int i = 0; i < ROUTERS; i++) {
+            routers.put("router-" + i, new VirtualRouter());
+        }
+    }
+
+    /** Each source acts, and is read by its owners; some of them die before the others are told. */
+    private void round(double deaths) throws GarbledBatch {
+        for (VirtualSource source : sources.values()) {
+            source.act(random);
+        }
+        List<String> live = List.copyOf(routers.keySet());
+        for (String router : live) {
+            List<KvNews> read = read(router, live);
+            if (random.nextDouble() < deaths) {
+                routers.remove(router);
+            } else {
+                passOn(router, BatchCodec.encode(read));
+            }
+        }
+    }
+
+    private List<KvNews> read(String router, List<String> live) {
+        SourceOwners owners = new SourceOwners(router, live.size(), live);
+        VirtualRouter self = routers.get(router);
+        List<KvNews> read = new ArrayList<>();
+        sources.forEach((name, source) -> {
+            if (owners.reads(name, PLACES)) {
+                KvNews news = source.read(name, self.positions.of(name));
+                if (self.takeIn(news)) {
+                    read.add(news);
+                }
+            }
+        });
+        return read;
+    }
+
+    private void passOn(String from, byte[] batch) throws GarbledBatch {
+        for (Map.Entry<String, VirtualRouter> router : routers.entrySet()) {
+            if (!router.getKey().equals(from) && random.nextDouble() >= batchLoss) {
+                BatchCodec.decode(batch).forEach(router.getValue()::takeIn);
+            }
+        }
+    }
+
+    private void assertAllKnown() {
+        routers.forEach((router, state) -> sources.forEach((name, source) -> assertThat(state.kept.get(name))
+                .as("%s of %s", router, name).isEqualTo(source.kept)));
+    }
+
+    @Test
+    void allKnowAllWhileOwnersDie() throws GarbledBatch {
+        for (int i = 0; i < 60; i++) {
+            round(0.01);
+        }
+        round(0);
+        assertThat(routers).hasSizeBetween(11, 29);
+        assertAllKnown();
+        assertThat(routers.values()).allSatisfy(router -> assertThat(router.uncertain).isEmpty());
+    }
+
+    @Test
+    void restartedSourcesBeginAnewForAll() throws GarbledBatch {
+        for (int i = 0; i < 60; i++) {
+            sources.get("engine-" + random.nextInt(SOURCES)).restart();
+            round(0.01);
+        }
+        round(0);
+        assertAllKnown();
+    }
+
+    @Test
+    void whoMissedABatchIsToldSo() throws GarbledBatch {
+        batchLoss = 0.05;
+        for (int i = 0; i < 60; i++) {
+            round(0.01);
+        }
+        batchLoss = 0;
+        round(0);
+        routers.forEach((router, state) -> sources.forEach((name, source) -> {
+            if (!state.uncertain.contains(name)) {
+                assertThat(state.kept.get(name)).as("%s of %s", router, name).isEqualTo(source.kept);
+            }
+        }));
+        assertThat(routers.values()).anySatisfy(router -> assertThat(router.uncertain).isNotEmpty());
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/kept/SourceOwnersTest.java
@@ -0,0 +1,78 @@
+package burlarch.fleet.kept;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class SourceOwnersTest {
+    private static final int PLACES = 12;
+
+    private final List<String> sources = names("engine-", 98);
+
+    private static List<String> names(String prefix, int count) {
+        return IntStream.range(0, count).mapToObj(i -> prefix + i).toList();
+    }
+
+    private static SourceOwners of(String self, int live, List<String> known) {
+        return new SourceOwners(self, live, known.stream().filter(name -> !name.equals(self)).toList());
+    }
+
+    private static List<String> readers(String source, List<String> routers, int places) {
+        return routers.stream().filter(router -> of(router, routers.size(), routers).reads(source, places))
+                .toList();
+    }
+
+    @Test
+    void allReadASourceThatCanHoldACallOfEach() {
+        List<String> routers = names("router-", 10);
+        assertThat(of("router-0", 10, routers).isShared(PLACES)).isFalse();
+        assertThat(readers("engine-1", routers, PLACES)).hasSize(10);
+    }
+
+    @Test
+    void oneOfManyReadsEachSource() {
+        List<String> routers = names("router-", 66);
+        assertThat(of("router-0", 66, routers).isShared(PLACES)).isTrue();
+        for (String source : sources) {
+            assertThat(readers(source, routers, PLACES)).hasSize(1);
+        }
+    }
+
+    @Test
+    void placesAreAskedForEachSourceAlone() {
+        List<String> routers = names("router-", 66);
+        assertThat(readers("store", routers, 400)).hasSize(66);
+        assertThat(readers("store", routers, 1)).hasSizeLessThanOrEqualTo(1);
+    }
+
+    @Test
+    void anEndMovesOnlyTheSourcesOfTheOneThatEnded() {
+        List<String> before = names("router-", 66);
+        String ended = readers("engine-5", before, PLACES).get(0);
+        List<String> after = new ArrayList<>(before);
+        after.remove(ended);
+        for (String source : sources) {
+            String former = readers(source, before, PLACES).get(0);
+            List<String> now = readers(source, after, PLACES);
+            assertThat(now).hasSize(1);
+            if (!former.equals(ended)) {
+                assertThat(now).containsExactly(former);
+            }
+        }
+    }
+
+    @Test
+    void routersThatKnowNoOthersYetReadNoMoreThanSourcesBear() {
+        List<String> routers = names("router-", 66);
+        int reads = 0;
+        for (String source : sources) {
+            int readers = (int) routers.stream().filter(router -> of(router, 66, List.of()).reads(source, PLACES))
+                    .count();
+            reads += readers;
+        }
+        assertThat(reads / sources.size()).isBetween(7, 12);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/burlarch/fleet/kept/SourcePositionsTest.java
@@ -0,0 +1,86 @@
+package burlarch.fleet.kept;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.fleet.engine.KvNews;
+import burlarch.fleet.engine.KvPosition;
+import burlarch.routing.KvEvents;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class SourcePositionsTest {
+    private final SourcePositions positions = new SourcePositions();
+
+    private static KvNews events(long epoch, long since, long next) {
+        return new KvNews(new KvEvents("e", epoch, false, List.of()), false, since, next);
+    }
+
+    private static KvNews list(long epoch, long next) {
+        return new KvNews(new KvEvents("e", epoch, false, List.of()), true, next, next);
+    }
+
+    /** What became of it: taken, lost, or dropped. */
+    private String accept(KvNews news) {
+        KvNews taken = positions.accept(news);
+        return taken == null ? "dropped" : taken.kept().lost() ? "lost" : "taken";
+    }
+
+    @Test
+    void oneAfterTheOtherIsTakenAsItIs() {
+        KvNews first = events(7, 0, 4);
+        assertThat(positions.accept(first)).isSameAs(first);
+        assertThat(accept(events(7, 4, 9))).isEqualTo("taken");
+        assertThat(positions.of("e")).isEqualTo(new KvPosition(7, 9));
+        assertThat(positions.of("other")).isNull();
+    }
+
+    @Test
+    void duplicatesAreDroppedAndOverlapsTaken() {
+        accept(events(7, 0, 4));
+        accept(events(7, 4, 9));
+        assertThat(accept(events(7, 4, 9))).isEqualTo("dropped");
+        assertThat(accept(events(7, 0, 4))).isEqualTo("dropped");
+        assertThat(accept(events(7, 4, 11))).isEqualTo("taken");
+        assertThat(positions.of("e").next()).isEqualTo(11);
+    }
+
+    @Test
+    void aGapIsMarkedOnce() {
+        accept(events(7, 0, 4));
+        assertThat(accept(events(7, 6, 9))).isEqualTo("lost");
+        assertThat(accept(events(7, 9, 10))).isEqualTo("taken");
+        assertThat(accept(events(7, 4, 6))).isEqualTo("dropped");
+    }
+
+    @Test
+    void aBeginInTheMidstIsAGap() {
+        assertThat(accept(events(7, 30, 31))).isEqualTo("lost");
+    }
+
+    @Test
+    void aListMakesUpForAllBeforeIt() {
+        accept(events(7, 0, 4));
+        assertThat(accept(list(7, 20))).isEqualTo("taken");
+        assertThat(accept(events(7, 20, 22))).isEqualTo("taken");
+        assertThat(accept(list(7, 21))).isEqualTo("dropped");
+    }
+
+    @Test
+    void aNewEpochBeginsAnewAndTheFormerIsOver() {
+        accept(events(7, 0, 40));
+        assertThat(accept(events(8, 0, 0))).isEqualTo("taken");
+        assertThat(accept(events(7, 40, 41))).isEqualTo("dropped");
+        assertThat(accept(events(8, 0, 3))).isEqualTo("taken");
+        assertThat(accept(events(9, 5, 6))).isEqualTo("lost");
+        assertThat(positions.of("e")).isEqualTo(new KvPosition(9, 6));
+    }
+
+    @Test
+    void forgottenSourcesBeginAnew() {
+        accept(events(7, 0, 40));
+        positions.retain(Set.of("other"));
+        assertThat(positions.of("e")).isNull();
+        assertThat(accept(events(7, 0, 2))).isEqualTo("taken");
+    }
+}
--- a/transport/src/main/java/burlarch/transport/FrameCodec.java
+++ b/transport/src/main/java/burlarch/transport/FrameCodec.java
@@ -54,6 +54,7 @@
         add(9, NodeMessage.InstancesAck.class);
         add(10, NodeMessage.Announced.class);
         add(11, NodeMessage.FleetUpdate.class);
+        add(12, NodeMessage.KeptParts.class);
         add(32, RegisterMessage.Prepare.class);
         add(33, RegisterMessage.Promise.class);
         add(34, RegisterMessage.Accept.class);
--- a/transport/src/main/java/burlarch/transport/NodeMessage.java
+++ b/transport/src/main/java/burlarch/transport/NodeMessage.java
@@ -64,6 +64,13 @@
     record FleetUpdate(List<String> controllers, int routers) implements NodeMessage {
     }
 
+    /**
+     * Router to one controller, which passes it on to its other routers as it is: what engines and stores told
+     * of the parts that they keep. The content is the routers' own affair.
+     */
+    record KeptParts(byte[] batch) implements NodeMessage {
+    }
+
     /** Keeps a quiet connection from being given up. */
     record Ping() implements NodeMessage {
     }
--- a/transport/src/test/java/burlarch/transport/Messages.java
+++ b/transport/src/test/java/burlarch/transport/Messages.java
@@ -38,6 +38,7 @@
                 new NodeMessage.InstancesAck(Long.MAX_VALUE),
                 new NodeMessage.Announced(List.of(instance())),
                 new NodeMessage.FleetUpdate(List.of("10.0.0.1:7001"), 400),
+                new NodeMessage.KeptParts(new byte[] {1, 0, -1}),
                 new NodeMessage.Register(new RegisterMessage.Prepare(1, BALLOT)),
                 new NodeMessage.Register(new RegisterMessage.Promise(2, "s1", true, BALLOT, BALLOT, VALUE)),
                 new NodeMessage.Register(
