--- a/fleet/src/main/java/burlarch/fleet/controller/AcceptorHost.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/AcceptorHost.java
@@ -5,35 +5,26 @@
 import burlarch.coordination.register.RegisterMessage;
 import burlarch.storage.AcceptorStore;
 import java.io.IOException;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
- * This process's acceptor on a thread of its own, which alone touches the disk: a disk that hangs makes the acceptor
- * silent and holds nothing else up. A reply leaves only after its state is durable; one whose write fails is dropped.
+ * This process's acceptor on the disk's own thread: a disk that hangs makes the acceptor silent and holds nothing
+ * else up. A reply leaves only after its state is durable; one whose write fails is dropped.
  */
 final class AcceptorHost {
-    /** Messages that wait for the disk; further ones are dropped, as proposers send again. */
-    private static final int MOST_WAITING = 64;
-
     private final AcceptorStore store;
     private final Acceptor acceptor;
-    private final ThreadPoolExecutor disk;
+    private final Executor disk;
     private boolean failing;
 
-    AcceptorHost(AcceptorStore store) {
+    /** @param disk runs one task after the other; it rejects those beyond its bound, as proposers send again */
+    AcceptorHost(AcceptorStore store, Executor disk) {
         this.store = store;
+        this.disk = disk;
         acceptor = new Acceptor(store.identity(), store.state());
-        disk = new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>(MOST_WAITING),
-                task -> {
-                    Thread thread = new Thread(task, "disk");
-                    thread.setDaemon(true);
-                    return thread;
-                });
     }
 
     /** Handles a message from any thread; the reply comes on the disk's thread, or never. */
--- a/fleet/src/main/java/burlarch/fleet/controller/AcceptorKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/AcceptorKeeper.java
@@ -1,9 +1,9 @@
 package burlarch.fleet.controller;
 
-import burlarch.coordination.register.AcceptorSetPlan;
 import burlarch.coordination.register.AcceptorSetPlan.Candidate;
+import burlarch.coordination.register.AcceptorSetPlan;
 import burlarch.coordination.register.Member;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Loop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -18,7 +18,7 @@
     private static final long REMOVE_AFTER_NANOS = 2_000_000_000;
     private static final int TURNS_BETWEEN_CONTROLLERS = 2;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final DecidedState decided;
     private final StateRegister register;
     private final ControllerPeers peers;
@@ -28,7 +28,7 @@
     private int turnsWaited;
     private boolean changing;
 
-    AcceptorKeeper(NodeLoop loop, DecidedState decided, StateRegister register, ControllerPeers peers,
+    AcceptorKeeper(Loop loop, DecidedState decided, StateRegister register, ControllerPeers peers,
             Member own) {
         this.loop = loop;
         this.decided = decided;
--- a/fleet/src/main/java/burlarch/fleet/controller/ConfirmedReads.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ConfirmedReads.java
@@ -1,7 +1,7 @@
 package burlarch.fleet.controller;
 
-import burlarch.transport.Connection;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Link;
+import burlarch.transport.Loop;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,24 +14,24 @@
 final class ConfirmedReads {
     private static final long RETRY_NANOS = 200_000_000;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final StateRegister register;
     private final RouterPublisher publisher;
-    private final Set<Connection> waiting = new LinkedHashSet<>();
+    private final Set<Link> waiting = new LinkedHashSet<>();
     private boolean reading;
 
-    ConfirmedReads(NodeLoop loop, StateRegister register, RouterPublisher publisher) {
+    ConfirmedReads(Loop loop, StateRegister register, RouterPublisher publisher) {
         this.loop = loop;
         this.register = register;
         this.publisher = publisher;
     }
 
-    void onRouterUp(Connection router) {
+    void onRouterUp(Link router) {
         waiting.add(router);
         readNext();
     }
 
-    void onRouterDown(Connection router) {
+    void onRouterDown(Link router) {
         waiting.remove(router);
     }
 
@@ -40,7 +40,7 @@
             return;
         }
         reading = true;
-        List<Connection> served = new ArrayList<>(waiting);
+        List<Link> served = new ArrayList<>(waiting);
         register.read().whenComplete((state, failure) -> {
             reading = false;
             if (failure == null) {
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerCore.java
@@ -0,0 +1,99 @@
+package burlarch.fleet.controller;
+
+import burlarch.coordination.register.Ballot;
+import burlarch.coordination.register.Member;
+import burlarch.coordination.registry.InstanceRegistry;
+import burlarch.coordination.registry.RegistrySettings;
+import burlarch.coordination.rollout.RolloutSettings;
+import burlarch.coordination.rollout.WeightsRollout;
+import burlarch.fleet.controller.api.ControlService;
+import burlarch.fleet.controller.state.SystemState;
+import burlarch.fleet.engine.EngineOrders;
+import burlarch.transport.LinkListener;
+import burlarch.transport.Links;
+import burlarch.transport.Loop;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.random.RandomGenerator;
+
+/** All of a controller but its sockets, threads, disk and clock, which come from outside. Lives on the loop. */
+public class ControllerCore {
+    /** Key of the duty to bring engines to the named weights. */
+    private static final String WEIGHTS = "weights";
+
+    private final Loop loop;
+    private final ControllerMessages messages;
+    private DecidedState decided;
+
+    /**
+     * What a controller acts on.
+     *
+     * @param disk runs what touches the disk, one task after the other; may reject a task
+     */
+    public record World(Links links, Executor disk, EngineOrders engines, RandomGenerator random) {
+    }
+
+    public ControllerCore(Loop loop) {
+        this.loop = loop;
+        messages = new ControllerMessages(loop);
+    }
+
+    /** To be told of all connections. */
+    public LinkListener listener() {
+        return messages;
+    }
+
+    /** Wires and starts all parts; to be called once, on the loop, before any connection is up. */
+    public ControlService start(ControllerSettings settings, ControllerStorage storage, World world) {
+        Member own = new Member(storage.store().identity(), settings.ownAddress());
+        decided = new DecidedState(storage.firstMembers());
+        ControllerPeers peers = new ControllerPeers(loop, world.links(), own.address());
+        RegisterDriver driver = new RegisterDriver(loop, peers, new AcceptorHost(storage.store(), world.disk()),
+                own.address(), settings.processName(), world.random(), decided::members);
+        StateRegister register = new StateRegister(register(driver), decided, peers);
+        InstanceRegistry registry = new InstanceRegistry(
+                RegistrySettings.forHeartbeat(settings.heartbeatNanos()), loop.nanoTime());
+        RouterPublisher publisher = new RouterPublisher(loop, world.links().codec(), registry);
+        InstanceFeed instances = new InstanceFeed(loop, registry, peers, publisher);
+        ConfirmedReads reads = new ConfirmedReads(loop, register, publisher);
+        decided.addListener(publisher::onDecided);
+        decided.addListener((state, ownProposal) -> peers.learn(
+                decided.members().stream().map(Member::address).toList()));
+        new AcceptorKeeper(loop, decided, register, peers, own);
+        startWeightsDuty(settings, register, registry, publisher, peers, world.engines());
+        messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
+        peers.learn(settings.seeds());
+        peers.learn(storage.firstMembers().stream().map(Member::address).toList());
+        return new OperatorCalls(loop, register, publisher, instances, settings.lossesBorne());
+    }
+
+    private void startWeightsDuty(ControllerSettings settings, StateRegister register,
+            InstanceRegistry registry, RouterPublisher publisher, ControllerPeers peers, EngineOrders engines) {
+        WeightsRollout rollout = new WeightsRollout(RolloutSettings.of(settings.versionMillis()));
+        WeightsDuty duty = new WeightsDuty(loop, registry, publisher, engines, rollout);
+        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, peers, WEIGHTS, settings.ownAddress(),
+                settings.processName() + "@" + settings.ownAddress(), settings.leaseNanos(), duty::hasWork, duty);
+        duty.start(ownership);
+        decided.addListener((state, ownProposal) -> duty.onDecided(state));
+    }
+
+    /** The register that all parts use. */
+    protected Register register(Register driver) {
+        return driver;
+    }
+
+    /** Ballot of {@link #known()}. */
+    public Ballot decidedBallot() {
+        return decided.ballot();
+    }
+
+    /** The newest state that is known here to be chosen. */
+    public SystemState known() {
+        return decided.state();
+    }
+
+    /** The acceptors, as far as is known here. */
+    public List<Member> acceptors() {
+        return decided.members();
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -1,14 +1,14 @@
 package burlarch.fleet.controller;
 
-import burlarch.transport.Connection;
-import burlarch.transport.NodeLoop;
-import burlarch.transport.NodeMessage;
+import burlarch.transport.Link;
+import burlarch.transport.LinkListener;
+import burlarch.transport.Loop;
 import burlarch.transport.NodeMessage.ControllerStatus;
 import burlarch.transport.NodeMessage.Decided;
-import burlarch.transport.NodeTransport;
+import burlarch.transport.NodeMessage;
 
 /** Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the loop. */
-final class ControllerMessages implements NodeTransport.Listener {
+final class ControllerMessages implements LinkListener {
     /** Role that routers give in their Hello. */
     static final String ROUTER = "router";
     /** Role that controllers give in their Hello. */
@@ -16,10 +16,10 @@
 
     private static final long STATUS_NANOS = 300_000_000;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private ControllerParts parts;
 
-    ControllerMessages(NodeLoop loop) {
+    ControllerMessages(Loop loop) {
         this.loop = loop;
     }
 
@@ -30,7 +30,7 @@
     }
 
     @Override
-    public void onUp(Connection connection) {
+    public void onUp(Link connection) {
         if (connection.peer().role().equals(ROUTER)) {
             parts.publisher().onRouterUp(connection, parts.peers().knownAddresses());
             parts.reads().onRouterUp(connection);
@@ -41,7 +41,7 @@
     }
 
     @Override
-    public void onDown(Connection connection) {
+    public void onDown(Link connection) {
         if (connection.peer().role().equals(ROUTER)) {
             parts.publisher().onRouterDown(connection, parts.peers().knownAddresses());
             parts.reads().onRouterDown(connection);
@@ -52,7 +52,7 @@
     }
 
     @Override
-    public void onMessage(Connection connection, NodeMessage message) {
+    public void onMessage(Link connection, NodeMessage message) {
         if (message instanceof NodeMessage.Register register) {
             parts.driver().onMessage(connection, register.message());
         } else if (message instanceof Decided decided) {
@@ -70,7 +70,7 @@
         }
     }
 
-    private void onStatus(Connection connection, ControllerStatus status) {
+    private void onStatus(Link connection, ControllerStatus status) {
         int known = parts.peers().knownAddresses().size();
         parts.peers().learn(status.controllers());
         if (parts.peers().knownAddresses().size() != known) {
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerPeers.java
@@ -3,10 +3,10 @@
 import burlarch.coordination.register.AcceptorSetPlan.Candidate;
 import burlarch.coordination.register.Member;
 import burlarch.settings.Addresses;
-import burlarch.transport.Connection;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Link;
+import burlarch.transport.Links;
+import burlarch.transport.Loop;
 import burlarch.transport.NodeMessage;
-import burlarch.transport.NodeTransport;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -23,16 +23,16 @@
 
     private static final class Peer {
         private String storage = "";
-        private Connection connection;
+        private Link connection;
         private long sinceNanos;
     }
 
-    private final NodeLoop loop;
-    private final NodeTransport transport;
+    private final Loop loop;
+    private final Links transport;
     private final String ownAddress;
     private final Map<String, Peer> peers = new TreeMap<>();
 
-    ControllerPeers(NodeLoop loop, NodeTransport transport, String ownAddress) {
+    ControllerPeers(Loop loop, Links transport, String ownAddress) {
         this.loop = loop;
         this.transport = transport;
         this.ownAddress = ownAddress;
@@ -51,7 +51,7 @@
     }
 
     /** A connection to or from a controller is up. */
-    void onUp(Connection connection) {
+    void onUp(Link connection) {
         NodeMessage.Hello hello = connection.peer();
         learn(List.of(hello.address()));
         Peer peer = peers.get(hello.address());
@@ -63,7 +63,7 @@
     }
 
     /** A connection to or from a controller is gone. */
-    void onDown(Connection connection) {
+    void onDown(Link connection) {
         Peer peer = peers.get(connection.peer().address());
         if (peer != null && peer.connection == connection) {
             peer.connection = null;
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -1,29 +1,24 @@
 package burlarch.fleet.controller;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import burlarch.configuration.ConfigurationDocument;
-import burlarch.coordination.register.Member;
-import burlarch.coordination.registry.InstanceRegistry;
-import burlarch.coordination.registry.RegistrySettings;
-import burlarch.coordination.rollout.RolloutSettings;
-import burlarch.coordination.rollout.WeightsRollout;
 import burlarch.fleet.controller.api.ControlServer;
+import burlarch.fleet.controller.api.ControlService;
 import burlarch.fleet.engine.EngineClient;
 import burlarch.fleet.engine.EngineHttp;
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeSettings;
 import burlarch.fleet.node.Shutdown;
-import burlarch.storage.AcceptorStore;
 import burlarch.storage.FolderDisk;
 import burlarch.transport.NodeLoop;
 import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeTransport;
-import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
@@ -36,10 +31,8 @@
     private static final long CALL_MILLIS = 930;
     private static final int IDENTITY_BYTES = 12;
     private static final int ENGINE_THREADS = 4;
-    /** Key of the duty to bring engines to the named weights. */
-    private static final String WEIGHTS = "weights";
-    /** Extra value of the store: acceptors of the first start, one a line. */
-    private static final String FIRST_MEMBERS = "first-members";
+    /** Messages that wait for the disk; further ones are dropped, as proposers send again. */
+    private static final int MOST_WAITING = 64;
 
     private ControllerProgram() {
     }
@@ -48,57 +41,31 @@
     public static void run(NodeSettings settings) throws Exception {
         String address = NodeAddresses.own(settings);
         List<String> seeds = NodeAddresses.seeds(settings);
-        AcceptorStore store = openStore(settings, address);
-        List<Member> firstMembers = firstMembers(store, settings, seeds);
+        ControllerStorage storage = ControllerStorage.open(new FolderDisk(settings.dataDir()), address, seeds,
+                settings.bootstrap(), ControllerProgram::randomHex);
         String incarnation = randomHex();
         NodeLoop loop = new NodeLoop("node");
-        ControllerMessages messages = new ControllerMessages(loop);
+        ControllerCore core = new ControllerCore(loop);
         NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ControllerMessages.CONTROLLER, address,
-                settings.zone(), store.identity(), incarnation);
-        NodeTransport transport = new NodeTransport(loop, hello, NodeAddresses.socket(address), messages);
-        Member own = new Member(store.identity(), address);
-        loop.execute(() -> {
-            OperatorCalls calls = wire(settings, loop, transport, messages, store, own, firstMembers, seeds,
-                    settings.nodeName() + "-" + incarnation);
-            serve(settings, calls);
-        });
+                settings.zone(), storage.store().identity(), incarnation);
+        NodeTransport transport = new NodeTransport(loop, hello, NodeAddresses.socket(address),
+                NodeTransport.Listener.of(core.listener()));
+        ControllerSettings decisions = new ControllerSettings(address, seeds,
+                settings.nodeName() + "-" + incarnation, settings.heartbeatNanos(),
+                TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos()), settings.bounds().leaseNanos(),
+                settings.faultTolerance().machines());
+        loop.execute(() -> serve(settings, core.start(decisions, storage, new ControllerCore.World(transport,
+                diskThread(), new EngineClient(engineHttp()), new SplittableRandom()))));
         ConfigurationDocument.prepareChecks();
     }
 
-    private static OperatorCalls wire(NodeSettings settings, NodeLoop loop, NodeTransport transport,
-            ControllerMessages messages, AcceptorStore store, Member own, List<Member> firstMembers,
-            List<String> seeds, String proposerName) {
-        DecidedState decided = new DecidedState(firstMembers);
-        ControllerPeers peers = new ControllerPeers(loop, transport, own.address());
-        RegisterDriver driver = new RegisterDriver(loop, peers, new AcceptorHost(store), own.address(), proposerName,
-                new SplittableRandom(), decided::members);
-        StateRegister register = new StateRegister(driver, decided, peers);
-        InstanceRegistry registry = new InstanceRegistry(
-                RegistrySettings.forHeartbeat(settings.heartbeatNanos()), loop.nanoTime());
-        RouterPublisher publisher = new RouterPublisher(loop, transport.codec(), registry);
-        InstanceFeed instances = new InstanceFeed(loop, registry, peers, publisher);
-        ConfirmedReads reads = new ConfirmedReads(loop, register, publisher);
-        decided.addListener(publisher::onDecided);
-        decided.addListener((state, ownProposal) -> peers.learn(
-                decided.members().stream().map(Member::address).toList()));
-        new AcceptorKeeper(loop, decided, register, peers, own);
-        startWeightsDuty(settings, loop, decided, register, registry, publisher, peers, own, proposerName);
-        messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
-        peers.learn(seeds);
-        peers.learn(firstMembers.stream().map(Member::address).toList());
-        return new OperatorCalls(loop, register, publisher, instances, settings.faultTolerance().machines());
-    }
-
-    private static void startWeightsDuty(NodeSettings settings, NodeLoop loop, DecidedState decided,
-            StateRegister register, InstanceRegistry registry, RouterPublisher publisher, ControllerPeers peers,
-            Member own, String processName) {
-        WeightsRollout rollout = new WeightsRollout(
-                RolloutSettings.of(TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos())));
-        WeightsDuty duty = new WeightsDuty(loop, registry, publisher, new EngineClient(engineHttp()), rollout);
-        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, peers, WEIGHTS, own.address(),
-                processName + "@" + own.address(), settings.bounds().leaseNanos(), duty::hasWork, duty);
-        duty.start(ownership);
-        decided.addListener((state, ownProposal) -> duty.onDecided(state));
+    /** The one thread that touches the disk. */
+    private static Executor diskThread() {
+        return new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>(MOST_WAITING), task -> {
+            Thread thread = new Thread(task, "disk");
+            thread.setDaemon(true);
+            return thread;
+        });
     }
 
     private static HttpClient engineHttp() {
@@ -115,7 +82,7 @@
         }
     }
 
-    private static void serve(NodeSettings settings, OperatorCalls calls) {
+    private static void serve(NodeSettings settings, ControlService calls) {
         ControlServer server = new ControlServer(settings.listen().control(), calls, CALL_MILLIS);
         try {
             server.start();
@@ -127,30 +94,6 @@
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().control());
     }
 
-    /** At the first start the identity follows from the address, so that all know the first acceptors unasked. */
-    private static AcceptorStore openStore(NodeSettings settings, String address) throws IOException {
-        return AcceptorStore.open(new FolderDisk(settings.dataDir()),
-                () -> settings.bootstrap() ? firstIdentity(address) : randomHex());
-    }
-
-    private static String firstIdentity(String address) {
-        return "first-" + address;
-    }
-
-    private static List<Member> firstMembers(AcceptorStore store, NodeSettings settings, List<String> seeds)
-            throws IOException {
-        byte[] kept = store.extra(FIRST_MEMBERS);
-        if (kept == null && settings.bootstrap()) {
-            kept = String.join("\n", seeds).getBytes(UTF_8);
-            store.saveExtra(FIRST_MEMBERS, kept);
-        }
-        if (kept == null) {
-            return List.of();
-        }
-        return new String(kept, UTF_8).lines()
-                .map(seed -> new Member(firstIdentity(seed), seed)).toList();
-    }
-
     private static String randomHex() {
         byte[] bytes = new byte[IDENTITY_BYTES];
         new SecureRandom().nextBytes(bytes);
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerSettings.java
@@ -0,0 +1,18 @@
+package burlarch.fleet.controller;
+
+import java.util.List;
+
+/**
+ * What the decisions of a controller hang on.
+ *
+ * @param ownAddress where it takes connections of other nodes, IP:PORT
+ * @param seeds such addresses of other controllers
+ * @param processName unique for this start of this process
+ * @param heartbeatNanos between the announcements of an instance
+ * @param versionMillis until when engines have to be at newly named weights
+ * @param leaseNanos how long a duty's owner may act after its last sign
+ * @param lossesBorne how many acceptors may be lost at once
+ */
+public record ControllerSettings(String ownAddress, List<String> seeds, String processName, long heartbeatNanos,
+        long versionMillis, long leaseNanos, int lossesBorne) {
+}
--- /dev/null
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerStorage.java
@@ -0,0 +1,53 @@
+package burlarch.fleet.controller;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import burlarch.coordination.register.Member;
+import burlarch.storage.AcceptorStore;
+import burlarch.storage.Disk;
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Supplier;
+
+/**
+ * What a controller finds on its disk.
+ *
+ * @param store of the acceptor
+ * @param firstMembers acceptors of the first start; empty where this disk was not there then
+ */
+public record ControllerStorage(AcceptorStore store, List<Member> firstMembers) {
+    /** Extra value of the store: acceptors of the first start, one a line. */
+    private static final String FIRST_MEMBERS = "first-members";
+
+    /**
+     * Opens the disk. At the first start of the whole system the identity follows from the address, so that all know
+     * the first acceptors unasked.
+     *
+     * @param newIdentity for a disk that comes empty later: an identity that no other disk ever has
+     * @throws IOException if the disk can't be read or made lasting; opening may be tried again
+     */
+    public static ControllerStorage open(Disk disk, String address, List<String> seeds, boolean bootstrap,
+            Supplier<String> newIdentity) throws IOException {
+        AcceptorStore store = AcceptorStore.open(disk,
+                () -> bootstrap ? firstIdentity(address) : newIdentity.get());
+        return new ControllerStorage(store, firstMembers(store, seeds, bootstrap));
+    }
+
+    private static String firstIdentity(String address) {
+        return "first-" + address;
+    }
+
+    private static List<Member> firstMembers(AcceptorStore store, List<String> seeds, boolean bootstrap)
+            throws IOException {
+        byte[] kept = store.extra(FIRST_MEMBERS);
+        if (kept == null && bootstrap) {
+            kept = String.join("\n", seeds).getBytes(UTF_8);
+            store.saveExtra(FIRST_MEMBERS, kept);
+        }
+        if (kept == null) {
+            return List.of();
+        }
+        return new String(kept, UTF_8).lines()
+                .map(seed -> new Member(firstIdentity(seed), seed)).toList();
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/controller/InstanceFeed.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/InstanceFeed.java
@@ -2,7 +2,7 @@
 
 import burlarch.coordination.registry.Instance;
 import burlarch.coordination.registry.InstanceRegistry;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Loop;
 import burlarch.transport.NodeMessage;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -16,14 +16,14 @@
     private static final long BATCH_NANOS = 250_000_000;
     private static final long EXPIRY_CHECK_NANOS = 500_000_000;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final InstanceRegistry registry;
     private final ControllerPeers peers;
     private final RouterPublisher publisher;
     private List<Instance> heartbeats = new ArrayList<>();
     private boolean batchPlanned;
 
-    InstanceFeed(NodeLoop loop, InstanceRegistry registry, ControllerPeers peers, RouterPublisher publisher) {
+    InstanceFeed(Loop loop, InstanceRegistry registry, ControllerPeers peers, RouterPublisher publisher) {
         this.loop = loop;
         this.registry = registry;
         this.peers = peers;
--- a/fleet/src/main/java/burlarch/fleet/controller/OperatorCalls.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OperatorCalls.java
@@ -12,7 +12,7 @@
 import burlarch.fleet.error.ErrorKind;
 import burlarch.fleet.error.FleetException;
 import burlarch.fleet.error.Problem;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Loop;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -26,7 +26,7 @@
     /** How long a first configuration waits for the acceptors that the losses to be borne need. */
     private static final long FOUNDING_NANOS = 4_000_000_000L;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final StateRegister register;
     private final RouterPublisher publisher;
     private final InstanceFeed instances;
@@ -34,7 +34,7 @@
     private final long startedNanos;
 
     /** @param lossesBorne how many acceptors may be lost at once */
-    OperatorCalls(NodeLoop loop, StateRegister register, RouterPublisher publisher, InstanceFeed instances,
+    OperatorCalls(Loop loop, StateRegister register, RouterPublisher publisher, InstanceFeed instances,
             int lossesBorne) {
         this.loop = loop;
         this.register = register;
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -6,7 +6,7 @@
 import burlarch.fleet.controller.state.Lease;
 import burlarch.fleet.controller.state.StateChanges;
 import burlarch.fleet.controller.state.SystemState;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Loop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -29,7 +29,7 @@
         void end();
     }
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final StateRegister register;
     private final ControllerPeers peers;
     private final String key;
@@ -46,7 +46,7 @@
     private final long leaseNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
-    OwnershipKeeper(NodeLoop loop, StateRegister register, ControllerPeers peers, String key, String ownAddress,
+    OwnershipKeeper(Loop loop, StateRegister register, ControllerPeers peers, String key, String ownAddress,
             String holderName, long leaseNanos, BooleanSupplier hasWork, Duty duty) {
         this.loop = loop;
         this.register = register;
--- a/fleet/src/main/java/burlarch/fleet/controller/RegisterDriver.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/RegisterDriver.java
@@ -6,8 +6,8 @@
 import burlarch.coordination.register.ProposalResult;
 import burlarch.coordination.register.RegisterChange;
 import burlarch.coordination.register.RegisterMessage;
-import burlarch.transport.Connection;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Link;
+import burlarch.transport.Loop;
 import burlarch.transport.NodeMessage;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -20,14 +20,14 @@
  * Runs proposals one after the other, so that those of one process don't get into each other's way, and lets the own
  * acceptor answer those of others. Lives on the loop.
  */
-final class RegisterDriver {
+final class RegisterDriver implements Register {
     /** Proposals that wait for their turn; a further one ends at once as not started. */
     private static final int MOST_WAITING = 64;
 
     private record Waiting(RegisterChange change, long deadlineNanos, CompletableFuture<ProposalResult> result) {
     }
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final ControllerPeers peers;
     private final AcceptorHost acceptor;
     private final String ownAddress;
@@ -44,7 +44,7 @@
      * @param proposerName unique for this start of this process
      * @param members the acceptors as they are known here
      */
-    RegisterDriver(NodeLoop loop, ControllerPeers peers, AcceptorHost acceptor, String ownAddress,
+    RegisterDriver(Loop loop, ControllerPeers peers, AcceptorHost acceptor, String ownAddress,
             String proposerName, RandomGenerator random, Supplier<List<Member>> members) {
         this.loop = loop;
         this.peers = peers;
@@ -55,8 +55,8 @@
         this.members = members;
     }
 
-    /** Proposes a change; the result comes on the loop, at the latest when the limit is over. */
-    CompletableFuture<ProposalResult> propose(RegisterChange change, long limitNanos) {
+    @Override
+    public CompletableFuture<ProposalResult> propose(RegisterChange change, long limitNanos) {
         CompletableFuture<ProposalResult> result = new CompletableFuture<>();
         if (queue.size() >= MOST_WAITING) {
             result.complete(new ProposalResult.NotStarted());
@@ -68,7 +68,7 @@
     }
 
     /** A message of the register from another controller. */
-    void onMessage(Connection from, RegisterMessage message) {
+    void onMessage(Link from, RegisterMessage message) {
         if (message instanceof RegisterMessage.Prepare || message instanceof RegisterMessage.Accept) {
             acceptor.handle(message, reply -> from.send(new NodeMessage.Register(reply)));
         } else {
--- a/fleet/src/main/java/burlarch/fleet/controller/RouterPublisher.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/RouterPublisher.java
@@ -1,16 +1,16 @@
 package burlarch.fleet.controller;
 
-import burlarch.coordination.distribution.SubscriberTable;
 import burlarch.coordination.distribution.SubscriberTable.Wait;
+import burlarch.coordination.distribution.SubscriberTable;
 import burlarch.coordination.registry.InstanceChanges;
 import burlarch.coordination.registry.InstanceRegistry;
 import burlarch.fleet.controller.state.SystemState;
-import burlarch.transport.Connection;
 import burlarch.transport.FrameCodec;
-import burlarch.transport.NodeLoop;
-import burlarch.transport.NodeMessage;
+import burlarch.transport.Link;
+import burlarch.transport.Loop;
 import burlarch.transport.NodeMessage.ConfigurationUpdate;
 import burlarch.transport.NodeMessage.InstancesUpdate;
+import burlarch.transport.NodeMessage;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -26,27 +26,27 @@
     /** A configuration that another controller chose is sent by that one: here only to those that lack it by then. */
     private static final long OTHERS_CHANGE_DELAY_NANOS = 150_000_000;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final FrameCodec codec;
     private final InstanceRegistry registry;
-    private final SubscriberTable<Connection> configurations = new SubscriberTable<>();
-    private final SubscriberTable<Connection> instances = new SubscriberTable<>();
+    private final SubscriberTable<Link> configurations = new SubscriberTable<>();
+    private final SubscriberTable<Link> instances = new SubscriberTable<>();
     private final Map<Wait, CompletableFuture<Void>> waiting = new IdentityHashMap<>();
-    private final Set<Connection> routers = new HashSet<>();
+    private final Set<Link> routers = new HashSet<>();
     /** Routers that may be sent a configuration: after their connection a quorum confirmed the newest one. */
-    private final Set<Connection> confirmed = new HashSet<>();
+    private final Set<Link> confirmed = new HashSet<>();
     private SystemState state = SystemState.EMPTY;
     private byte[] configurationFrame;
     private long sentRevision;
 
-    RouterPublisher(NodeLoop loop, FrameCodec codec, InstanceRegistry registry) {
+    RouterPublisher(Loop loop, FrameCodec codec, InstanceRegistry registry) {
         this.loop = loop;
         this.codec = codec;
         this.registry = registry;
     }
 
     /** A router is connected. It gets instances at once, the configuration once {@link #onConfirmed} allows. */
-    void onRouterUp(Connection router, List<String> controllers) {
+    void onRouterUp(Link router, List<String> controllers) {
         routers.add(router);
         configurations.subscribe(router);
         instances.subscribe(router);
@@ -54,7 +54,7 @@
         sendFleet(controllers);
     }
 
-    void onRouterDown(Connection router, List<String> controllers) {
+    void onRouterDown(Link router, List<String> controllers) {
         if (!routers.remove(router)) {
             return;
         }
@@ -77,7 +77,7 @@
     }
 
     /** The router was connected before a read that a quorum confirmed began: it may be sent the newest configuration. */
-    void onConfirmed(Connection router) {
+    void onConfirmed(Link router) {
         if (routers.contains(router) && confirmed.add(router) && configurationFrame != null) {
             router.sendFrame(configurationFrame);
         }
@@ -100,7 +100,7 @@
     }
 
     private void sendConfiguration() {
-        for (Connection router : configurations.behind(state.configurationVersion())) {
+        for (Link router : configurations.behind(state.configurationVersion())) {
             if (confirmed.contains(router)) {
                 router.sendFrame(configurationFrame);
             }
@@ -121,12 +121,12 @@
         return codec.encode(new InstancesUpdate(changes.revision(), changes.whole(), changes.instances()));
     }
 
-    void onConfigurationAck(Connection router, long version) {
+    void onConfigurationAck(Link router, long version) {
         configurations.onAcknowledged(router, version);
         finishWaits();
     }
 
-    void onInstancesAck(Connection router, long revision) {
+    void onInstancesAck(Link router, long revision) {
         instances.onAcknowledged(router, revision);
         finishWaits();
     }
@@ -141,7 +141,7 @@
         return await(instances, revision, limitNanos);
     }
 
-    private CompletableFuture<Void> await(SubscriberTable<Connection> table, long revision, long limitNanos) {
+    private CompletableFuture<Void> await(SubscriberTable<Link> table, long revision, long limitNanos) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         table.await(revision, loop.nanoTime() + limitNanos).ifPresentOrElse(wait -> {
             waiting.put(wait, done);
--- a/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/StateRegister.java
@@ -23,11 +23,11 @@
 final class StateRegister {
     private static final long PROPOSAL_NANOS = 850_000_000;
 
-    private final RegisterDriver driver;
+    private final Register driver;
     private final DecidedState decided;
     private final ControllerPeers peers;
 
-    StateRegister(RegisterDriver driver, DecidedState decided, ControllerPeers peers) {
+    StateRegister(Register driver, DecidedState decided, ControllerPeers peers) {
         this.driver = driver;
         this.decided = decided;
         this.peers = peers;
--- a/fleet/src/main/java/burlarch/fleet/controller/WeightsDuty.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/WeightsDuty.java
@@ -8,9 +8,9 @@
 import burlarch.coordination.rollout.WeightsRollout;
 import burlarch.fleet.controller.state.SystemState;
 import burlarch.fleet.engine.EngineAddress;
-import burlarch.fleet.engine.EngineClient;
+import burlarch.fleet.engine.EngineOrders;
 import burlarch.fleet.engine.Order;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Loop;
 import java.util.List;
 import org.tinylog.Logger;
 
@@ -18,15 +18,15 @@
 final class WeightsDuty implements OwnershipKeeper.Duty {
     private static final long PERIOD_NANOS = 300_000_000;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final InstanceRegistry registry;
     private final RouterPublisher publisher;
-    private final EngineClient engines;
+    private final EngineOrders engines;
     private final WeightsRollout rollout;
     private OwnershipKeeper ownership;
-    private NodeLoop.Timer timer;
+    private Loop.Timer timer;
 
-    WeightsDuty(NodeLoop loop, InstanceRegistry registry, RouterPublisher publisher, EngineClient engines,
+    WeightsDuty(Loop loop, InstanceRegistry registry, RouterPublisher publisher, EngineOrders engines,
             WeightsRollout rollout) {
         this.loop = loop;
         this.registry = registry;
--- a/fleet/src/main/java/burlarch/fleet/engine/EngineClient.java
+++ b/fleet/src/main/java/burlarch/fleet/engine/EngineClient.java
@@ -14,7 +14,7 @@
  * The calls to engines and stores that aren't requests. Failures are values of the answers: the futures don't
  * fail, and they complete on a thread of the HTTP client.
  */
-public final class EngineClient {
+public final class EngineClient implements EngineOrders {
     /** The longest wait that a call for events may ask for. */
     public static final long MAXIMUM_WAIT_MILLIS = 1000;
 
@@ -52,11 +52,13 @@
     }
 
     /** The engine's report, empty where it gave none. It is priced as a probe. */
+    @Override
     public CompletableFuture<Optional<EngineReport>> report(EngineAddress target) {
         return send(request(target, "/burlarch/report", 0), new ReportCall(json));
     }
 
     /** Sends an order, once. */
+    @Override
     public CompletableFuture<OrderResult> order(EngineAddress target, Order order) {
         Request request = request(target, "/burlarch/order", 0).method("POST")
                 .body(new BytesRequestContent("application/json", json.order(order)));
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -2,14 +2,15 @@
 
 import burlarch.coordination.registry.InstanceViews;
 import burlarch.settings.Addresses;
-import burlarch.transport.Connection;
-import burlarch.transport.NodeMessage;
+import burlarch.transport.Link;
+import burlarch.transport.LinkListener;
+import burlarch.transport.Links;
 import burlarch.transport.NodeMessage.ConfigurationAck;
 import burlarch.transport.NodeMessage.ConfigurationUpdate;
 import burlarch.transport.NodeMessage.FleetUpdate;
 import burlarch.transport.NodeMessage.InstancesAck;
 import burlarch.transport.NodeMessage.InstancesUpdate;
-import burlarch.transport.NodeTransport;
+import burlarch.transport.NodeMessage;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,12 +22,12 @@
  * A router's streams from all controllers: the newest configuration wins, instances are combined, and what has been
  * put into effect is acknowledged. Lives on the loop.
  */
-final class ControllerLinks implements NodeTransport.Listener {
+public final class ControllerLinks implements LinkListener {
     /** Controllers beyond this number are passed over. */
     private static final int MOST_CONTROLLERS = 32;
 
     /** Puts into effect what controllers tell; each call returns once it is in effect. */
-    interface Effects {
+    public interface Effects {
         /** @return whether the configuration could be read and is in force */
         boolean onConfiguration(long version, byte[] json);
 
@@ -37,18 +38,18 @@
 
     private final Effects effects;
     private final InstanceViews views = new InstanceViews();
-    private final Map<Connection, Integer> routersSeen = new HashMap<>();
+    private final Map<Link, Integer> routersSeen = new HashMap<>();
     private final Set<String> controllers = new HashSet<>();
-    private NodeTransport transport;
+    private Links transport;
     private long version;
     private boolean toldInstances;
 
-    ControllerLinks(Effects effects) {
+    public ControllerLinks(Effects effects) {
         this.effects = effects;
     }
 
     /** Connects to the first controllers; to be called once, before any connection is up. */
-    void start(NodeTransport ownTransport, Collection<String> seeds) {
+    public void start(Links ownTransport, Collection<String> seeds) {
         transport = ownTransport;
         learn(seeds);
     }
@@ -62,18 +63,18 @@
     }
 
     /** Whether a configuration is in force and instances were told: requests can be served. */
-    boolean isInformed() {
+    public boolean isInformed() {
         return version > 0 && toldInstances;
     }
 
     @Override
-    public void onUp(Connection connection) {
+    public void onUp(Link connection) {
         Logger.info("controller {} connected", connection.peer().nodeName());
         routersSeen.put(connection, 1);
     }
 
     @Override
-    public void onMessage(Connection connection, NodeMessage message) {
+    public void onMessage(Link connection, NodeMessage message) {
         if (message instanceof ConfigurationUpdate update) {
             onConfiguration(connection, update);
         } else if (message instanceof InstancesUpdate update) {
@@ -88,7 +89,7 @@
         }
     }
 
-    private void onConfiguration(Connection connection, ConfigurationUpdate update) {
+    private void onConfiguration(Link connection, ConfigurationUpdate update) {
         if (update.version() > version) {
             if (!effects.onConfiguration(update.version(), update.json())) {
                 return;
@@ -102,7 +103,7 @@
     }
 
     @Override
-    public void onDown(Connection connection) {
+    public void onDown(Link connection) {
         Logger.info("controller {} lost", connection.peer().nodeName());
         if (routersSeen.remove(connection) != null) {
             views.onControllerLost(connection.peer().nodeName());
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -47,7 +47,7 @@
         NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ROLE, NodeAddresses.own(settings),
                 settings.zone(), "", UUID.randomUUID().toString());
         NodeTransport transport = new NodeTransport(loop, hello,
-                NodeAddresses.socket(NodeAddresses.own(settings)), links);
+                NodeAddresses.socket(NodeAddresses.own(settings)), NodeTransport.Listener.of(links));
         loop.execute(() -> links.start(transport, NodeAddresses.seeds(settings)));
         Shutdown.onSignal(() -> server.drain().join());
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().front());
--- a/transport/src/main/java/burlarch/transport/Connection.java
+++ b/transport/src/main/java/burlarch/transport/Connection.java
@@ -12,7 +12,7 @@
  * A TCP connection to another node. Lives on the loop. What is sent in one turn of the loop leaves together
  * at its end. Closed for good once: nothing is received or sent afterwards.
  */
-public final class Connection {
+public final class Connection implements Link {
     /** What a connection tells its owner, always on the loop. */
     interface Owner {
         void opened(Connection connection);
@@ -67,11 +67,13 @@
     }
 
     /** What the other side said of itself; null before {@code onUp}. */
+    @Override
     public NodeMessage.Hello peer() {
         return peer;
     }
 
     /** Whether this side asked for the connection. */
+    @Override
     public boolean outgoing() {
         return outgoing;
     }
@@ -86,11 +88,13 @@
     }
 
     /** Sends a message; from any thread. Dropped on a closed connection; too much unsent closes it. */
+    @Override
     public void send(NodeMessage message) {
         sendFrame(shared.codec().encode(message));
     }
 
     /** Sends what {@link FrameCodec#encode} made, so that one message to many is encoded once. */
+    @Override
     public void sendFrame(byte[] frame) {
         if (shared.loop().inLoop()) {
             enqueue(frame);
--- /dev/null
+++ b/transport/src/main/java/burlarch/transport/LinkListener.java
@@ -0,0 +1,13 @@
+package burlarch.transport;
+
+/** Told on the loop of everything that happens to the connections of one node. */
+public interface LinkListener {
+    /** The peer has said Hello. */
+    void onUp(Link link);
+
+    /** A message other than Hello and Ping. */
+    void onMessage(Link link, NodeMessage message);
+
+    /** Once for each connection that was up, in a turn of its own after whatever closed it. */
+    void onDown(Link link);
+}
--- /dev/null
+++ b/transport/src/main/java/burlarch/transport/Links.java
@@ -0,0 +1,12 @@
+package burlarch.transport;
+
+import java.net.InetSocketAddress;
+
+/** The connections of one node as their users see them: {@link NodeTransport}, or those in virtual time. */
+public interface Links {
+    /** Keeps a connection to that address; may be repeated. */
+    void connect(InetSocketAddress target);
+
+    /** Encodes messages for {@link Link#sendFrame}. */
+    FrameCodec codec();
+}
--- a/transport/src/main/java/burlarch/transport/NodeLoop.java
+++ b/transport/src/main/java/burlarch/transport/NodeLoop.java
@@ -18,7 +18,7 @@
  * One thread that does all of a node's work in turn: network events, timers and tasks. It sleeps until there
  * is something to do. A task that throws is logged and the loop goes on.
  */
-public final class NodeLoop implements AutoCloseable {
+public final class NodeLoop implements Loop, AutoCloseable {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Selector selector;
@@ -37,7 +37,7 @@
     }
 
     /** A task that is due later. */
-    public final class Timer implements Comparable<Timer> {
+    public final class Timer implements Loop.Timer, Comparable<Timer> {
         private final long due;
         private final long sequence;
         private final Runnable task;
@@ -50,6 +50,7 @@
         }
 
         /** May be called at any time from any thread; on the loop it holds at once. */
+        @Override
         public void cancel() {
             cancelled = true;
             if (inLoop()) {
@@ -78,6 +79,7 @@
     }
 
     /** Runs the task on the loop, soon; from any thread. After {@link #close()} it is dropped. */
+    @Override
     public void execute(Runnable task) {
         if (closed) {
             return;
@@ -89,6 +91,7 @@
     }
 
     /** Runs the task on the loop once the delay is over; from any thread. */
+    @Override
     public Timer schedule(long delayNanos, Runnable task) {
         long due = nanoTime() + Math.max(0, delayNanos);
         Timer timer = new Timer(due, timerSequence.incrementAndGet(), task);
@@ -107,6 +110,7 @@
     }
 
     /** The steady clock that timers go by. */
+    @Override
     public long nanoTime() {
         return System.nanoTime();
     }
--- a/transport/src/main/java/burlarch/transport/NodeTransport.java
+++ b/transport/src/main/java/burlarch/transport/NodeTransport.java
@@ -18,7 +18,7 @@
  * Connections between nodes: takes those of others and keeps those that this node asks for. Two nodes may
  * have two connections with each other, one asked for by each.
  */
-public final class NodeTransport implements AutoCloseable {
+public final class NodeTransport implements Links, AutoCloseable {
     private static final int BACKLOG = 1_024;
     private static final int BUFFER_BYTES = 64 << 10;
     private static final long ACCEPT_PAUSE_NANOS = 100_000_000;
@@ -47,6 +47,26 @@
 
         /** Once for each connection that was up, in a turn of its own after whatever closed it. */
         void onDown(Connection connection);
+
+        /** Passes everything on to a listener that needs only the view of {@link Link}. */
+        static Listener of(LinkListener listener) {
+            return new Listener() {
+                @Override
+                public void onUp(Connection connection) {
+                    listener.onUp(connection);
+                }
+
+                @Override
+                public void onMessage(Connection connection, NodeMessage message) {
+                    listener.onMessage(connection, message);
+                }
+
+                @Override
+                public void onDown(Connection connection) {
+                    listener.onDown(connection);
+                }
+            };
+        }
     }
 
     /** With the default times and bounds. */
@@ -89,6 +109,7 @@
     }
 
     /** Encodes messages for {@link Connection#sendFrame}. */
+    @Override
     public FrameCodec codec() {
         return codec;
     }
@@ -99,6 +120,7 @@
     }
 
     /** Keeps a connection to that address until {@link #disconnect}; from any thread, may be repeated. */
+    @Override
     public void connect(InetSocketAddress target) {
         loop.execute(() -> {
             if (!closed && !dialers.containsKey(target)) {
