--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerStorage.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerStorage.java
@@ -5,6 +5,7 @@
 import burlarch.coordination.register.Member;
 import burlarch.storage.AcceptorStore;
 import burlarch.storage.Disk;
+import burlarch.storage.SegmentedLog;
 import java.io.IOException;
 import java.util.List;
 import java.util.function.Supplier;
@@ -28,8 +29,14 @@
      */
     public static ControllerStorage open(Disk disk, String address, List<String> seeds, boolean bootstrap,
             Supplier<String> newIdentity) throws IOException {
+        return open(disk, address, seeds, bootstrap, newIdentity, SegmentedLog.DEFAULT_SEGMENT_BYTES);
+    }
+
+    /** As the other one, with snapshots at other distances. */
+    public static ControllerStorage open(Disk disk, String address, List<String> seeds, boolean bootstrap,
+            Supplier<String> newIdentity, long segmentBytes) throws IOException {
         AcceptorStore store = AcceptorStore.open(disk,
-                () -> bootstrap ? firstIdentity(address) : newIdentity.get());
+                () -> bootstrap ? firstIdentity(address) : newIdentity.get(), segmentBytes);
         return new ControllerStorage(store, firstMembers(store, seeds, bootstrap));
     }
 
--- a/simulation/src/main/java/burlarch/simulation/Machine.java
+++ b/simulation/src/main/java/burlarch/simulation/Machine.java
@@ -60,6 +60,9 @@
     }
 
     void kill() {
+        if (process != null) {
+            process.node.end();
+        }
         process = null;
         frozenUntil = simulation.now();
     }
--- a/simulation/src/main/java/burlarch/simulation/SimulatedNode.java
+++ b/simulation/src/main/java/burlarch/simulation/SimulatedNode.java
@@ -10,4 +10,8 @@
 
     /** The time asked for by {@link NodeContext#wakeUpAt} has come. */
     void onTimer(long now);
+
+    /** The process is killed. What its kernel still sends for it may be sent from here. */
+    default void end() {
+    }
 }
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/Calls.java
@@ -0,0 +1,32 @@
+package burlarch.simulation.coordination;
+
+import burlarch.coordination.rollout.EngineReport;
+import burlarch.coordination.rollout.OrderResult;
+import burlarch.fleet.engine.Order;
+
+/** Calls that go over HTTP outside the simulation: each a message there and one back, either of which may be lost. */
+final class Calls {
+    private Calls() {
+    }
+
+    record ControlRequest(long id, ControlAction action) {
+    }
+
+    record ControlAnswer(long id, int status, byte[] body) {
+        boolean succeeded() {
+            return status == 200;
+        }
+
+        /** Whether the caller ends the call on it. */
+        boolean refused() {
+            return status >= 400 && status < 500;
+        }
+    }
+
+    /** @param order null for a report */
+    record EngineRequest(long id, String instance, Order order) {
+    }
+
+    record EngineAnswer(long id, OrderResult result, EngineReport report) {
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/ChainRule.java
@@ -0,0 +1,89 @@
+package burlarch.simulation.coordination;
+
+import burlarch.coordination.register.Ballot;
+import burlarch.fleet.controller.state.Lease;
+import burlarch.fleet.controller.state.SystemState;
+import burlarch.fleet.controller.state.SystemStateCodec;
+import burlarch.fleet.controller.state.TakenChange;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** All that was ever chosen is one chain: what a ballot chose holds all that lower ones chose. */
+final class ChainRule {
+    static final String NAME = "chain";
+
+    private final Violations violations;
+    private final TreeMap<Ballot, SystemState> chosen = new TreeMap<>();
+    private final Map<Long, byte[]> configurations = new HashMap<>();
+
+    ChainRule(Violations violations) {
+        this.violations = violations;
+    }
+
+    /** A controller knows of a value as chosen. */
+    void onChosen(String machine, Ballot ballot, SystemState state) {
+        SystemState same = chosen.putIfAbsent(ballot, state);
+        if (same != null) {
+            if (!Arrays.equals(SystemStateCodec.encode(same), SystemStateCodec.encode(state))) {
+                violations.add(NAME, "two values chosen at " + ballot + ", seen by " + machine);
+            }
+            return;
+        }
+        Map.Entry<Ballot, SystemState> lower = chosen.lowerEntry(ballot);
+        Map.Entry<Ballot, SystemState> higher = chosen.higherEntry(ballot);
+        if (lower != null) {
+            checkFollows(lower, Map.entry(ballot, state));
+        }
+        if (higher != null) {
+            checkFollows(Map.entry(ballot, state), higher);
+        }
+        byte[] known = configurations.putIfAbsent(state.configurationVersion(), state.configuration());
+        if (known != null && !Arrays.equals(known, state.configuration())) {
+            violations.add(NAME, "two configurations of version " + state.configurationVersion());
+        }
+    }
+
+    private void checkFollows(Map.Entry<Ballot, SystemState> lower, Map.Entry<Ballot, SystemState> higher) {
+        String broken = broken(lower.getValue(), higher.getValue());
+        if (broken != null) {
+            violations.add(NAME, broken + " lost between " + lower.getKey() + " and " + higher.getKey());
+        }
+    }
+
+    private static String broken(SystemState before, SystemState after) {
+        List<TakenChange> taken = before.taken();
+        boolean all = after.taken().size() >= taken.size() && after.taken().subList(0, taken.size()).equals(taken);
+        if (!all && after.taken().size() < SystemState.MOST_TAKEN) {
+            return "a change";
+        }
+        if (after.configurationVersion() < before.configurationVersion()) {
+            return "configuration " + before.configurationVersion();
+        }
+        for (Map.Entry<String, Long> weights : before.weights().entrySet()) {
+            if (after.weights().getOrDefault(weights.getKey(), 0L) < weights.getValue()) {
+                return "weights " + weights;
+            }
+        }
+        for (Map.Entry<String, Lease> owner : before.owners().entrySet()) {
+            Lease later = after.owners().get(owner.getKey());
+            if (later == null || later.token() < owner.getValue().token()
+                    || later.token() == owner.getValue().token() && !later.equals(owner.getValue())) {
+                return "owner " + owner;
+            }
+        }
+        return after.nextToken() < before.nextToken() ? "a token" : null;
+    }
+
+    /** The newest that is known as chosen. */
+    SystemState newest() {
+        return chosen.isEmpty() ? SystemState.EMPTY : chosen.lastEntry().getValue();
+    }
+
+    /** Whether a configuration is one that was chosen. */
+    boolean isChosen(long version, byte[] json) {
+        return Arrays.equals(configurations.get(version), json);
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/ControlCaller.java
@@ -0,0 +1,110 @@
+package burlarch.simulation.coordination;
+
+import burlarch.simulation.NodeContext;
+import burlarch.simulation.Simulation;
+import burlarch.simulation.coordination.Calls.ControlAnswer;
+import burlarch.simulation.coordination.Calls.ControlRequest;
+import burlarch.transport.Loop;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Calls controllers as the platform does: unchanged again, at another one, until there is a clear answer. */
+final class ControlCaller {
+    private static final long SILENCE_NANOS = Simulation.SECOND;
+    private static final long FIRST_PAUSE_NANOS = 100 * Simulation.MILLISECOND;
+    private static final long LONGEST_PAUSE_NANOS = Simulation.SECOND;
+
+    private final NodeContext context;
+    private final Loop loop;
+    private final Supplier<List<String>> controllers;
+    private String controller;
+    private long sent;
+    private Attempt attempt;
+
+    private final class Attempt {
+        private final ControlAction action;
+        private final long giveUpAt;
+        private final Consumer<ControlAnswer> done;
+        private long pause = FIRST_PAUSE_NANOS;
+        private long id;
+
+        Attempt(ControlAction action, long giveUpAt, Consumer<ControlAnswer> done) {
+            this.action = action;
+            this.giveUpAt = giveUpAt;
+            this.done = done;
+        }
+
+        void send() {
+            if (attempt != this) {
+                return;
+            }
+            id = context.incarnation() + ++sent;
+            long sending = id;
+            context.send(controller(), new ControlRequest(id, action));
+            loop.schedule(SILENCE_NANOS, () -> {
+                if (attempt == this && id == sending) {
+                    again();
+                }
+            });
+        }
+
+        void again() {
+            controller = null;
+            id = 0;
+            if (loop.nanoTime() - giveUpAt >= 0) {
+                finish(null);
+                return;
+            }
+            loop.schedule(pause, this::send);
+            pause = Math.min(LONGEST_PAUSE_NANOS, 2 * pause);
+        }
+
+        void finish(ControlAnswer answer) {
+            attempt = null;
+            done.accept(answer);
+        }
+    }
+
+    /** @param controllers the addresses to choose from, as they are at the time of a call */
+    ControlCaller(NodeContext context, Loop loop, Supplier<List<String>> controllers) {
+        this.context = context;
+        this.loop = loop;
+        this.controllers = controllers;
+    }
+
+    /**
+     * Calls, in place of a call that is under way.
+     *
+     * @param done gets 200 or a refusal; null after the time to give up
+     */
+    void call(ControlAction action, long limitNanos, Consumer<ControlAnswer> done) {
+        attempt = new Attempt(action, loop.nanoTime() + limitNanos, done);
+        attempt.send();
+    }
+
+    /** The next call goes to any controller. */
+    void chooseAnew() {
+        controller = null;
+    }
+
+    private String controller() {
+        if (controller == null) {
+            List<String> all = controllers.get();
+            controller = all.get(context.random().nextInt(all.size()));
+        }
+        return controller;
+    }
+
+    void onAnswer(ControlAnswer answer) {
+        Attempt current = attempt;
+        if (current == null || answer.id() != current.id) {
+            return;
+        }
+        if (answer.succeeded() || answer.refused()) {
+            current.finish(answer);
+        } else {
+            current.again();
+        }
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/ControlCalls.java
@@ -0,0 +1,79 @@
+package burlarch.simulation.coordination;
+
+import burlarch.fleet.controller.api.ControlService;
+import burlarch.fleet.error.ErrorKind;
+import burlarch.fleet.error.FleetException;
+import burlarch.simulation.NodeContext;
+import burlarch.simulation.Simulation;
+import burlarch.simulation.coordination.Calls.ControlAnswer;
+import burlarch.simulation.coordination.Calls.ControlRequest;
+import burlarch.transport.Loop;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+
+/** Answers calls of operators and instances as the control interface does. */
+final class ControlCalls {
+    private static final long CALL_NANOS = 930 * Simulation.MILLISECOND;
+    private static final byte[] NOTHING = {};
+    private static final int OK = 200;
+
+    private final NodeContext context;
+    private final Loop loop;
+    private final ControlService service;
+    private final Consumer<Throwable> failures;
+    /** Calls go over connections: none comes twice. */
+    private final Set<Long> seen = new HashSet<>();
+
+    ControlCalls(NodeContext context, Loop loop, ControlService service, Consumer<Throwable> failures) {
+        this.context = context;
+        this.loop = loop;
+        this.service = service;
+        this.failures = failures;
+    }
+
+    void onRequest(String from, ControlRequest request) {
+        if (!seen.add(request.id())) {
+            return;
+        }
+        CompletableFuture<?> result = call(request.action());
+        Loop.Timer limit = loop.schedule(CALL_NANOS, () -> result.cancel(false));
+        result.whenComplete((body, failure) -> {
+            limit.cancel();
+            int status = failure == null ? OK : status(failure);
+            context.send(from, new ControlAnswer(request.id(), status, body instanceof byte[] bytes ? bytes : NOTHING));
+        });
+    }
+
+    private CompletableFuture<?> call(ControlAction action) {
+        if (action instanceof ControlAction.Put put) {
+            return service.putConfiguration(put.body(), put.ifMatch());
+        } else if (action instanceof ControlAction.Patch patch) {
+            return service.patchConfiguration(patch.body(), patch.ifMatch());
+        } else if (action instanceof ControlAction.NameWeights weights) {
+            return service.nameWeights(weights.model(), weights.version());
+        } else if (action instanceof ControlAction.Announce announce) {
+            return service.announce(announce.instance());
+        } else if (action instanceof ControlAction.Leave leave) {
+            return service.leave(leave.id());
+        }
+        return service.readConfiguration();
+    }
+
+    private int status(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        if (cause instanceof FleetException told) {
+            return told.kind().status();
+        }
+        if (!(cause instanceof CancellationException)) {
+            failures.accept(cause);
+        }
+        return ErrorKind.UNCLEAR.status();
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/ControllerNode.java
@@ -0,0 +1,171 @@
+package burlarch.simulation.coordination;
+
+import burlarch.fleet.controller.ControllerCore;
+import burlarch.fleet.controller.ControllerSettings;
+import burlarch.fleet.controller.ControllerStorage;
+import burlarch.fleet.controller.api.ControlService;
+import burlarch.simulation.NodeContext;
+import burlarch.simulation.SimulatedNode;
+import burlarch.simulation.Simulation;
+import burlarch.simulation.coordination.Calls.ControlRequest;
+import burlarch.simulation.coordination.Calls.EngineAnswer;
+import burlarch.simulation.disk.SimulatedDisk;
+import burlarch.simulation.link.DiskThread;
+import burlarch.simulation.link.SimulatedLinks;
+import burlarch.simulation.link.SimulatedLoop;
+import burlarch.transport.Link;
+import burlarch.transport.LinkListener;
+import burlarch.transport.NodeMessage;
+import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A controller: the real decisions on simulated connections, disk and clock. */
+final class ControllerNode implements SimulatedNode {
+    private static final long OPEN_AGAIN_NANOS = Simulation.SECOND;
+    /** Small, so that snapshots are as frequent as they are rare in service. */
+    private static final long SEGMENT_BYTES = 12_000;
+
+    private final Simulation simulation;
+    private final NodeContext context;
+    private final SimulatedDisk disk;
+    private final List<String> seeds;
+    private final boolean bootstrap;
+    private final int tolerance;
+    private final Rules rules;
+    private final Doubles doubles;
+    private final SimulatedLoop loop;
+    private final Set<Link> routers = new LinkedHashSet<>();
+    private ControllerCore core;
+    private SimulatedLinks links;
+    private ControlCalls calls;
+    private EngineCalls engines;
+    private boolean powerLost;
+
+    /** @param bootstrap whether the whole system starts for the first time */
+    ControllerNode(Simulation simulation, NodeContext context, SimulatedDisk disk, List<String> seeds,
+            boolean bootstrap, int tolerance, Rules rules, Doubles doubles) {
+        this.simulation = simulation;
+        this.context = context;
+        this.disk = disk;
+        this.seeds = seeds;
+        this.bootstrap = bootstrap;
+        this.tolerance = tolerance;
+        this.rules = rules;
+        this.doubles = doubles;
+        loop = new SimulatedLoop(context);
+    }
+
+    @Override
+    public void start(long now) {
+        event(now, this::open);
+    }
+
+    private void open() {
+        long begin = simulation.now();
+        disk.begin(begin);
+        try {
+            ControllerStorage storage = ControllerStorage.open(disk, context.address(), seeds, bootstrap,
+                    () -> doubles.identity(context.address(), Long.toHexString(context.random().nextLong())),
+                    SEGMENT_BYTES);
+            loop.schedule(disk.time() - begin, () -> run(storage));
+        } catch (IOException full) {
+            loop.schedule(OPEN_AGAIN_NANOS, this::open);
+        }
+    }
+
+    private void run(ControllerStorage storage) {
+        core = doubles.core(loop);
+        String process = context.name() + "-" + Long.toHexString(context.incarnation());
+        NodeMessage.Hello hello = new NodeMessage.Hello(context.name(), "controller", context.address(), "zone",
+                storage.store().identity(), process);
+        links = new SimulatedLinks(context, loop, hello, listener(core.listener()),
+                failure -> rules.onFailure(context.name(), failure));
+        engines = new EngineCalls(context, loop, rules.orders(), simulation);
+        ControllerSettings settings = new ControllerSettings(context.address(), seeds, process,
+                FleetPlan.HEARTBEAT_NANOS, FleetPlan.VERSION_MILLIS, doubles.leaseNanos(FleetPlan.LEASE_NANOS),
+                tolerance);
+        DiskThread thread = new DiskThread(loop, disk, simulation.now() - loop.nanoTime());
+        ControlService service = core.start(settings, storage,
+                new ControllerCore.World(links, thread, engines, context.random()));
+        calls = new ControlCalls(context, loop, doubles.calls(service, routers),
+                failure -> rules.onFailure(context.name(), failure));
+    }
+
+    /** Passes all on, and knows which connections lead to routers. */
+    private LinkListener listener(LinkListener real) {
+        return new LinkListener() {
+            @Override
+            public void onUp(Link link) {
+                if (link.peer().role().equals(RouterNode.ROLE)) {
+                    routers.add(link);
+                }
+                real.onUp(link);
+            }
+
+            @Override
+            public void onMessage(Link link, NodeMessage message) {
+                real.onMessage(link, message);
+            }
+
+            @Override
+            public void onDown(Link link) {
+                routers.remove(link);
+                real.onDown(link);
+            }
+        };
+    }
+
+    @Override
+    public void onMessage(String from, Object message, long now) {
+        event(now, () -> {
+            if (links == null) {
+                return;
+            }
+            if (message instanceof ControlRequest request) {
+                calls.onRequest(from, request);
+            } else if (message instanceof EngineAnswer answer) {
+                engines.onAnswer(answer);
+            } else {
+                links.onPacket(from, message);
+            }
+        });
+    }
+
+    @Override
+    public void onTimer(long now) {
+        event(now, () -> { });
+    }
+
+    private void event(long now, Runnable action) {
+        loop.enter(now);
+        try {
+            action.run();
+            loop.leave();
+        } catch (RuntimeException failure) {
+            rules.onFailure(context.name(), failure);
+            loop.leave();
+        }
+        if (core != null && core.known().nextToken() > 0 && core.decidedBallot().round() > 0) {
+            rules.onChosen(context.name(), core.decidedBallot(), core.known());
+        }
+    }
+
+    /** What the end of this process is to be: a loss of power. */
+    void losePower() {
+        powerLost = true;
+    }
+
+    @Override
+    public void end() {
+        if (powerLost) {
+            disk.onPowerLoss(simulation.now());
+            return;
+        }
+        disk.onKill(simulation.now());
+        if (links != null) {
+            links.reset();
+        }
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/EngineCalls.java
@@ -0,0 +1,62 @@
+package burlarch.simulation.coordination;
+
+import burlarch.coordination.rollout.EngineReport;
+import burlarch.coordination.rollout.OrderResult;
+import burlarch.fleet.engine.EngineAddress;
+import burlarch.fleet.engine.EngineOrders;
+import burlarch.fleet.engine.Order;
+import burlarch.simulation.NodeContext;
+import burlarch.simulation.Simulation;
+import burlarch.simulation.coordination.Calls.EngineAnswer;
+import burlarch.simulation.coordination.Calls.EngineRequest;
+import burlarch.transport.Loop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A controller's calls to engines over the simulated network. */
+final class EngineCalls implements EngineOrders {
+    private static final long LIMIT_NANOS = Simulation.SECOND;
+
+    private final NodeContext context;
+    private final Loop loop;
+    private final OrderRule rule;
+    private final Simulation simulation;
+    private final Map<Long, CompletableFuture<EngineAnswer>> open = new HashMap<>();
+    private long calls;
+
+    EngineCalls(NodeContext context, Loop loop, OrderRule rule, Simulation simulation) {
+        this.context = context;
+        this.loop = loop;
+        this.rule = rule;
+        this.simulation = simulation;
+    }
+
+    @Override
+    public CompletableFuture<Optional<EngineReport>> report(EngineAddress target) {
+        return call(target, null).thenApply(answer -> Optional.ofNullable(answer.report()));
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> order(EngineAddress target, Order order) {
+        rule.onSent(order, simulation.now());
+        return call(target, order).thenApply(EngineAnswer::result);
+    }
+
+    private CompletableFuture<EngineAnswer> call(EngineAddress target, Order order) {
+        long id = context.incarnation() + ++calls;
+        CompletableFuture<EngineAnswer> result = new CompletableFuture<>();
+        open.put(id, result);
+        loop.schedule(LIMIT_NANOS, () -> onAnswer(new EngineAnswer(id, OrderResult.NO_ANSWER, null)));
+        context.send(target.address(), new EngineRequest(id, target.instance(), order));
+        return result;
+    }
+
+    void onAnswer(EngineAnswer answer) {
+        CompletableFuture<EngineAnswer> waiting = open.remove(answer.id());
+        if (waiting != null) {
+            waiting.complete(answer);
+        }
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/EngineNode.java
@@ -0,0 +1,151 @@
+package burlarch.simulation.coordination;
+
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.Instance.ServedModel;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.coordination.rollout.EngineReport;
+import burlarch.coordination.rollout.OrderResult;
+import burlarch.fleet.engine.Order;
+import burlarch.simulation.NodeContext;
+import burlarch.simulation.SimulatedNode;
+import burlarch.simulation.Simulation;
+import burlarch.simulation.coordination.Calls.ControlAnswer;
+import burlarch.simulation.coordination.Calls.EngineAnswer;
+import burlarch.simulation.coordination.Calls.EngineRequest;
+import burlarch.simulation.link.SimulatedLoop;
+import java.util.List;
+import java.util.function.Supplier;
+
+/** An engine: announces itself, loads weights, drains, leaves, and comes again as another incarnation. */
+final class EngineNode implements SimulatedNode {
+    static final String MODEL = "model-1";
+
+    private static final long SHORTEST_LIFE = 4 * Simulation.SECOND;
+    private static final int LIFE_SPREAD_MILLIS = 12_000;
+    private static final long SERVES_ON = 2 * Simulation.SECOND;
+    private static final long REUSE_AFTER = 2 * Simulation.SECOND;
+    private static final long LOAD_NANOS = Simulation.SECOND;
+    private static final long DRAIN_LIMIT = 6 * Simulation.SECOND;
+
+    private final NodeContext context;
+    private final Rules rules;
+    private final SimulatedLoop loop;
+    private final ControlCaller caller;
+    private String id;
+    private InstanceState state;
+    private long sequence;
+    private long version;
+    private long orders;
+    private long fence;
+    private boolean busy;
+    private int lives;
+
+    EngineNode(NodeContext context, Rules rules, Supplier<List<String>> controllers) {
+        this.context = context;
+        this.rules = rules;
+        loop = new SimulatedLoop(context);
+        caller = new ControlCaller(context, loop, controllers);
+    }
+
+    @Override
+    public void start(long now) {
+        loop.enter(now);
+        live();
+        loop.leave();
+    }
+
+    private void live() {
+        int life = ++lives;
+        id = context.name() + "-" + Long.toHexString(context.incarnation()) + "-" + life;
+        state = InstanceState.READY;
+        sequence = 0;
+        orders = 0;
+        fence = 0;
+        busy = false;
+        version = Math.max(version, rules.operators().newestWeights(MODEL));
+        announce(life);
+        long spread = context.random().nextInt(LIFE_SPREAD_MILLIS) * Simulation.MILLISECOND;
+        loop.schedule(SHORTEST_LIFE + spread, this::drain);
+    }
+
+    private void announce(int life) {
+        if (life != lives || state != InstanceState.READY) {
+            return;
+        }
+        loop.schedule(FleetPlan.HEARTBEAT_NANOS, () -> announce(life));
+        caller.call(new ControlAction.Announce(instance()), FleetPlan.HEARTBEAT_NANOS, answer -> { });
+    }
+
+    private Instance instance() {
+        return new Instance(id, "service-1", context.address(), "zone", "v1", 8, state, 0,
+                List.of(new ServedModel(MODEL, version)), ++sequence);
+    }
+
+    private void drain() {
+        state = InstanceState.DRAINING;
+        String draining = id;
+        caller.call(new ControlAction.Announce(instance()), DRAIN_LIMIT, answer -> {
+            if (answer != null && answer.succeeded()) {
+                rules.routers().onDrained(draining);
+            }
+            loop.schedule(SERVES_ON, this::leave);
+        });
+    }
+
+    private void leave() {
+        String leaving = id;
+        caller.call(new ControlAction.Leave(leaving), DRAIN_LIMIT / 2, answer -> {
+            if (answer != null && answer.succeeded()) {
+                rules.routers().onDrained(leaving);
+            }
+            state = InstanceState.GONE;
+            loop.schedule(REUSE_AFTER, this::live);
+        });
+    }
+
+    @Override
+    public void onMessage(String from, Object message, long now) {
+        loop.enter(now);
+        if (message instanceof ControlAnswer answer) {
+            caller.onAnswer(answer);
+        } else if (message instanceof EngineRequest request && state != InstanceState.GONE) {
+            context.send(from, request.order() == null
+                    ? new EngineAnswer(request.id(), null, new EngineReport(
+                            List.of(new ServedModel(MODEL, version)), busy, orders, 0, 0, 0, 1))
+                    : new EngineAnswer(request.id(), take(request.instance(), request.order()), null));
+        }
+        loop.leave();
+    }
+
+    private OrderResult take(String instance, Order order) {
+        if (!id.equals(instance)) {
+            return OrderResult.MISDIRECTED;
+        }
+        if (order.fenceToken() < fence) {
+            return OrderResult.FENCED;
+        }
+        fence = order.fenceToken();
+        if (busy || order.ifRevision() != Order.ANY_REVISION && order.ifRevision() != orders) {
+            return OrderResult.BUSY_OR_CHANGED;
+        }
+        if (version == order.version()) {
+            return OrderResult.HOLDS;
+        }
+        orders++;
+        busy = true;
+        int life = lives;
+        loop.schedule(LOAD_NANOS, () -> {
+            if (life == lives) {
+                busy = false;
+                version = Math.max(version, order.version());
+            }
+        });
+        return OrderResult.TAKEN;
+    }
+
+    @Override
+    public void onTimer(long now) {
+        loop.enter(now);
+        loop.leave();
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/FleetPlan.java
@@ -0,0 +1,76 @@
+package burlarch.simulation.coordination;
+
+import burlarch.simulation.Simulation;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The size of a simulated fleet, the chance in it and the times that it is judged by, as one line of text
+ * {@code fleet controllers=3 ...}.
+ *
+ * @param tolerance how many controllers may lose their disks
+ * @param seconds how long it runs
+ */
+public record FleetPlan(long seed, int controllers, int spares, int routers, int operators, int engines,
+        int tolerance, int seconds) {
+    static final long CONTACT_NANOS = 3 * Simulation.SECOND;
+    static final long APPLY_NANOS = Simulation.SECOND;
+    static final long DRAIN_NANOS = Simulation.SECOND;
+    static final long LEASE_NANOS = 3 * Simulation.SECOND;
+    static final long THAW_NANOS = Simulation.SECOND;
+    static final long HEARTBEAT_NANOS = 1_200 * Simulation.MILLISECOND;
+    static final long VERSION_MILLIS = 10_000;
+    static final int MOST_SEEDS = 3;
+
+    static final String KEYWORD = "fleet";
+    private static final String CONTROLLER = "core-";
+    private static final int USUAL_SECONDS = 42;
+
+    /** The usual fleet around so many controllers. */
+    public static FleetPlan of(long seed, int controllers) {
+        return new FleetPlan(seed, controllers, 1, 2, 3, 2, (controllers - 1) / 2, USUAL_SECONDS);
+    }
+
+    /** Reads what {@link #toString} wrote. */
+    public static FleetPlan parse(String line) {
+        Map<String, Long> figures = new TreeMap<>();
+        for (String word : line.substring(KEYWORD.length()).trim().split("\\s+")) {
+            String[] parts = word.split("=");
+            figures.put(parts[0], Long.parseLong(parts[1]));
+        }
+        return new FleetPlan(figures.get("seed"), figures.get("controllers").intValue(),
+                figures.get("spares").intValue(), figures.get("routers").intValue(),
+                figures.get("operators").intValue(), figures.get("engines").intValue(),
+                figures.get("tolerance").intValue(), figures.get("seconds").intValue());
+    }
+
+    @Override
+    public String toString() {
+        return KEYWORD + " seed=" + seed + " controllers=" + controllers + " spares=" + spares + " routers="
+                + routers + " operators=" + operators + " engines=" + engines + " tolerance=" + tolerance
+                + " seconds=" + seconds;
+    }
+
+    static String controller(int number) {
+        return CONTROLLER + number;
+    }
+
+    static boolean isController(String name) {
+        return name.startsWith(CONTROLLER);
+    }
+
+    static String controllerAddress(int number) {
+        return "10.0.1." + number + ":7340";
+    }
+
+    /** Addresses that the settings of all name. */
+    List<String> seeds() {
+        List<String> seeds = new ArrayList<>();
+        for (int i = 1; i <= Math.min(MOST_SEEDS, controllers); i++) {
+            seeds.add(controllerAddress(i));
+        }
+        return seeds;
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/OperatorRule.java
@@ -0,0 +1,103 @@
+package burlarch.simulation.coordination;
+
+import burlarch.fleet.controller.state.SystemState;
+import burlarch.fleet.controller.state.TakenChange;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** What operators may rely on: acknowledged lasts, refused never comes, one wins a race. */
+final class OperatorRule {
+    static final String LOST = "lost";
+    static final String REFUSED = "refused";
+    static final String RACE = "race";
+    static final String INVALID = "invalid";
+
+    private final Violations violations;
+    private final ChainRule chain;
+    private final Map<TakenChange, Long> acknowledged = new HashMap<>();
+    private final Map<Long, TakenChange> winners = new HashMap<>();
+    private final Set<TakenChange> refused = new HashSet<>();
+    private final Set<TakenChange> invalid = new HashSet<>();
+    private final Map<String, Long> weights = new HashMap<>();
+    private long newestAcknowledged;
+
+    OperatorRule(Violations violations, ChainRule chain) {
+        this.violations = violations;
+        this.chain = chain;
+    }
+
+    long newestAcknowledged() {
+        return newestAcknowledged;
+    }
+
+    int acknowledgements() {
+        return acknowledged.size();
+    }
+
+    /** A change is about to be sent that no state may take. */
+    void onInvalid(TakenChange change) {
+        invalid.add(change);
+    }
+
+    void onAcknowledged(TakenChange change, long ifMatch) {
+        if (invalid.contains(change)) {
+            violations.add(INVALID, "acknowledged " + change);
+        }
+        if (refused.contains(change)) {
+            violations.add(REFUSED, "acknowledged after it was refused: " + change);
+        }
+        TakenChange winner = winners.putIfAbsent(ifMatch, change);
+        if (winner != null && !winner.equals(change)) {
+            violations.add(RACE, "both acknowledged on top of " + ifMatch + ": " + winner + ", " + change);
+        }
+        if (!chain.newest().hasTaken(change) && acknowledged.size() < SystemState.MOST_TAKEN) {
+            violations.add(LOST, "acknowledged and not chosen: " + change);
+        }
+        acknowledged.put(change, ifMatch);
+        newestAcknowledged = Math.max(newestAcknowledged, change.version());
+    }
+
+    void onRefused(TakenChange change, int status) {
+        if (acknowledged.containsKey(change) && acknowledged.size() < SystemState.MOST_TAKEN) {
+            violations.add(REFUSED, status + " for what was acknowledged: " + change);
+        }
+        refused.add(change);
+        check(chain.newest());
+    }
+
+    /** A newer state is known as chosen. */
+    void check(SystemState state) {
+        for (TakenChange taken : state.taken()) {
+            if (refused.contains(taken)) {
+                violations.add(REFUSED, "in force after it was refused: " + taken);
+            }
+        }
+    }
+
+    /**
+     * A read came back.
+     *
+     * @param expected what was acknowledged when it was asked for
+     */
+    void onRead(long version, byte[] json, long expected) {
+        if (version < expected) {
+            violations.add(LOST, "version " + version + " read after " + expected + " was acknowledged");
+        }
+        if (!chain.isChosen(version, json)) {
+            violations.add(LOST, "version " + version + " read, which was not chosen like that");
+        }
+    }
+
+    void onWeightsAcknowledged(String model, long version) {
+        weights.merge(model, version, Math::max);
+        if (chain.newest().weights().getOrDefault(model, 0L) < weights.get(model)) {
+            violations.add(LOST, "weights " + model + " " + version);
+        }
+    }
+
+    long newestWeights(String model) {
+        return weights.getOrDefault(model, 1L);
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
@@ -0,0 +1,91 @@
+package burlarch.simulation.coordination;
+
+import burlarch.coordination.registry.Instance;
+import burlarch.coordination.registry.InstanceState;
+import burlarch.coordination.registry.InstanceViews;
+import burlarch.fleet.router.ControllerLinks;
+import burlarch.simulation.NodeContext;
+import burlarch.simulation.SimulatedNode;
+import burlarch.simulation.link.SimulatedLinks;
+import burlarch.simulation.link.SimulatedLoop;
+import burlarch.transport.NodeMessage;
+import java.util.List;
+
+/** A router as far as controllers tell it something. */
+final class RouterNode implements SimulatedNode {
+    static final String ROLE = "router";
+
+    private final NodeContext context;
+    private final List<String> seeds;
+    private final Rules rules;
+    private final SimulatedLoop loop;
+    private SimulatedLinks transport;
+    private List<Instance> instances = List.of();
+    private long version;
+
+    RouterNode(NodeContext context, List<String> seeds, Rules rules) {
+        this.context = context;
+        this.seeds = seeds;
+        this.rules = rules;
+        loop = new SimulatedLoop(context);
+    }
+
+    @Override
+    public void start(long now) {
+        loop.enter(now);
+        ControllerLinks links = new ControllerLinks(new InForce());
+        NodeMessage.Hello hello = new NodeMessage.Hello(context.name(), ROLE, context.address(), "zone", "",
+                Long.toHexString(context.incarnation()));
+        transport = new SimulatedLinks(context, loop, hello, links,
+                failure -> rules.onFailure(context.name(), failure));
+        links.start(transport, seeds);
+        loop.leave();
+    }
+
+    @Override
+    public void onMessage(String from, Object message, long now) {
+        loop.enter(now);
+        transport.onPacket(from, message);
+        loop.leave();
+    }
+
+    @Override
+    public void onTimer(long now) {
+        loop.enter(now);
+        loop.leave();
+    }
+
+    @Override
+    public void end() {
+        transport.reset();
+    }
+
+    long version() {
+        return version;
+    }
+
+    /** Whether requests may go to that instance. */
+    boolean sendsTo(String id) {
+        return instances.stream().anyMatch(instance -> instance.id().equals(id)
+                && instance.state() != InstanceState.DRAINING && instance.state() != InstanceState.GONE);
+    }
+
+    private final class InForce implements ControllerLinks.Effects {
+        @Override
+        public boolean onConfiguration(long newVersion, byte[] json) {
+            rules.routers().onAdopted(context.name(), version, newVersion, json);
+            version = newVersion;
+            return true;
+        }
+
+        @Override
+        public void onInstances(InstanceViews views) {
+            instances = views.instances();
+        }
+
+        @Override
+        public void onRouters(int live) {
+            // The count steers budgets, which are not under play here.
+        }
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/coordination/RouterRule.java
@@ -0,0 +1,57 @@
+package burlarch.simulation.coordination;
+
+import burlarch.simulation.SimulatedNode;
+import burlarch.simulation.Simulation;
+import java.util.function.Predicate;
+
+/** What holds at routers: only what was chosen, never back, and in time where they are in touch. */
+final class RouterRule {
+    static final String UNDECIDED = "undecided";
+    static final String BACK = "back";
+    static final String LATE = "late";
+    static final String DRAIN = "drain";
+
+    private final Simulation simulation;
+    private final Violations violations;
+    private final ChainRule chain;
+    private final Touch touch;
+
+    RouterRule(Simulation simulation, Violations violations, ChainRule chain, Touch touch) {
+        this.simulation = simulation;
+        this.violations = violations;
+        this.chain = chain;
+        this.touch = touch;
+    }
+
+    /** A router puts a configuration into force. */
+    void onAdopted(String router, long before, long version, byte[] json) {
+        if (!chain.isChosen(version, json)) {
+            violations.add(UNDECIDED, router + " has version " + version + ", which was not chosen like that");
+        }
+        if (version <= before) {
+            violations.add(BACK, router + " goes from " + before + " to " + version);
+        }
+    }
+
+    /** A configuration was acknowledged to the operator just now. */
+    void onAcknowledged(long version) {
+        judgeLater(FleetPlan.APPLY_NANOS, LATE, "version " + version, router -> router.version() >= version);
+    }
+
+    /** An instance's drain or leave was acknowledged to it just now. */
+    void onDrained(String instance) {
+        judgeLater(FleetPlan.DRAIN_NANOS, DRAIN, instance + " as leaving", router -> !router.sendsTo(instance));
+    }
+
+    private void judgeLater(long bound, String rule, String what, Predicate<RouterNode> holds) {
+        long since = simulation.now();
+        simulation.at(since + bound, () -> {
+            for (String name : simulation.names()) {
+                SimulatedNode node = simulation.node(name);
+                if (node instanceof RouterNode router && touch.inTouch(name, since) && !holds.test(router)) {
+                    violations.add(rule, name + " does not know " + what);
+                }
+            }
+        });
+    }
+}
--- a/simulation/src/main/java/burlarch/simulation/scenario/ScenarioActions.java
+++ b/simulation/src/main/java/burlarch/simulation/scenario/ScenarioActions.java
@@ -9,12 +9,17 @@
 /** What the steps of a scenario do to a simulation. */
 final class ScenarioActions {
     private final Simulation simulation;
+    private final ScenarioVerbs verbs;
 
-    ScenarioActions(Simulation simulation) {
+    ScenarioActions(Simulation simulation, ScenarioVerbs verbs) {
         this.simulation = simulation;
+        this.verbs = verbs;
     }
 
     void perform(ScenarioStep step) {
+        if (verbs.perform(step, word -> named(word, Set.of()))) {
+            return;
+        }
         switch (step.verb()) {
             case "start":
                 each(step, simulation::start);
--- a/simulation/src/main/java/burlarch/simulation/scenario/ScenarioRunner.java
+++ b/simulation/src/main/java/burlarch/simulation/scenario/ScenarioRunner.java
@@ -17,10 +17,15 @@
     private final List<String> failures = new ArrayList<>();
 
     public ScenarioRunner(Simulation simulation, Scenario scenario, Judge judge) {
+        this(simulation, scenario, judge, (step, names) -> false);
+    }
+
+    /** @param verbs steps that it takes are not looked for among the usual ones */
+    public ScenarioRunner(Simulation simulation, Scenario scenario, Judge judge, ScenarioVerbs verbs) {
         this.simulation = simulation;
         this.scenario = scenario;
         this.judge = judge;
-        actions = new ScenarioActions(simulation);
+        actions = new ScenarioActions(simulation, verbs);
     }
 
     /**
--- a/simulation/src/main/java/burlarch/simulation/scenario/ScenarioStep.java
+++ b/simulation/src/main/java/burlarch/simulation/scenario/ScenarioStep.java
@@ -12,7 +12,8 @@
  * @param duration how long, in nanoseconds; 0 where it lasts
  */
 public record ScenarioStep(int line, long time, String verb, List<String> words, long duration) {
-    String word(int index) {
+    /** A word after the verb; throws IllegalArgumentException where it is missing. */
+    public String word(int index) {
         if (index >= words.size()) {
             throw new IllegalArgumentException("line " + line + ": something is missing after " + verb);
         }
