--- a/coordination/src/main/java/burlarch/coordination/ownership/OwnershipLease.java
+++ b/coordination/src/main/java/burlarch/coordination/ownership/OwnershipLease.java
@@ -4,16 +4,17 @@
  * One process's part in a duty that only one may do at a time. The register names the holder and gives the
  * fencing token; this decides when the holder may act. Times are nanoseconds of a steady clock.
  *
- * <p>The holder acts only until half the lease after it <em>asked</em> for the view of the register that last
- * showed it as holder. Whoever takes the duty over does so after that view was formed, and waits a whole
- * lease from its own claim. So half a lease lies between the two, for orders under way and for clocks that
- * run unevenly.
+ * <p>The holder acts only for a time after it <em>asked</em> for the view of the register that last showed it as
+ * holder. Whoever takes the duty over does so after that view was formed, and waits that time and a whole lease from
+ * its own claim. So a whole lease lies between the acts of the two.
  */
 public final class OwnershipLease {
     private static final int PART_TO_ACT = 2;
 
     private final String self;
     private final long leaseNanos;
+    private final long actNanos;
+    private final long waitNanos;
     private LeaseState state = LeaseState.FREE;
     private long token;
     private long claimedAt;
@@ -24,8 +25,19 @@
      *         waits its former self out
      */
     public OwnershipLease(String self, long leaseNanos) {
+        this(self, leaseNanos, leaseNanos / PART_TO_ACT, leaseNanos);
+    }
+
+    /**
+     * @param actNanos how long the holder acts after it asked for a view that shows it as such
+     * @param waitNanos how long a new holder waits; with {@code leaseNanos} and {@code actNanos} together a whole lease
+     *         lies between two holders' acts
+     */
+    public OwnershipLease(String self, long leaseNanos, long actNanos, long waitNanos) {
         this.self = self;
         this.leaseNanos = leaseNanos;
+        this.actNanos = actNanos;
+        this.waitNanos = waitNanos;
     }
 
     /** The claim goes to the register now. Returns false where the duty isn't free here. */
@@ -83,7 +95,7 @@
     public void onTimer(long now) {
         if (inPossession() && now - confirmedAt >= leaseNanos) {
             become(LeaseState.LOST);
-        } else if (state == LeaseState.WAITING_OUT && now - claimedAt >= leaseNanos) {
+        } else if (state == LeaseState.WAITING_OUT && now - claimedAt >= waitNanos) {
             become(LeaseState.HOLDING);
         }
     }
@@ -97,12 +109,12 @@
 
     /** Whether an order may be sent at this moment; to be asked before each one. */
     public boolean mayAct(long now) {
-        return state == LeaseState.HOLDING && now - confirmedAt < leaseNanos / PART_TO_ACT;
+        return state == LeaseState.HOLDING && now - confirmedAt < actNanos;
     }
 
     /** When the register should be asked again so that the holder never has to pause. */
     public long confirmBy() {
-        return confirmedAt + leaseNanos / (2 * PART_TO_ACT);
+        return confirmedAt + actNanos / 2;
     }
 
     public LeaseState state() {
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -18,6 +18,8 @@
  */
 final class OwnershipKeeper {
     private static final long PERIOD_NANOS = 200_000_000;
+    /** For this part of a lease the owner acts without another look at the register; the next one waits it out too. */
+    private static final int PART_TO_ACT = 4;
     /** A controller that is out of reach for less may only be slow: its duties stay with it. */
     private static final long OWNER_LOST_NANOS = 1_000_000_000;
 
@@ -43,7 +45,7 @@
     /** When this process became the owner under its present token, and under which one. */
     private long ownerSinceNanos;
     private long ownerToken = -1;
-    private final long leaseNanos;
+    private final long waitNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
     OwnershipKeeper(Loop loop, StateRegister register, ControllerPeers peers, String key, String ownAddress,
@@ -54,8 +56,9 @@
         this.key = key;
         this.ownAddress = ownAddress;
         this.holderName = holderName;
-        this.leaseNanos = leaseNanos;
-        this.lease = new OwnershipLease(holderName, leaseNanos);
+        long actNanos = leaseNanos / PART_TO_ACT;
+        waitNanos = leaseNanos + actNanos;
+        lease = new OwnershipLease(holderName, leaseNanos, actNanos, waitNanos);
         this.hasWork = hasWork;
         this.duty = duty;
         loop.schedule(PERIOD_NANOS, this::check);
@@ -169,9 +172,9 @@
         }
         if (taken.token() != ownerToken) {
             ownerToken = taken.token();
-            ownerSinceNanos = former == null ? now - leaseNanos : now;
+            ownerSinceNanos = former == null ? now - waitNanos : now;
         }
-        boolean waitedOut = now - ownerSinceNanos >= leaseNanos;
+        boolean waitedOut = now - ownerSinceNanos >= waitNanos;
         lease.claimTaken(taken.token(), waitedOut ? null : "another", askedAt, now);
         Logger.info("{} owned under token {}", key, taken.token());
         update();
