--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerCore.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerCore.java
@@ -1,5 +1,6 @@
 package burlarch.fleet.controller;
 
+import burlarch.coordination.membership.MemberChange;
 import burlarch.coordination.register.Ballot;
 import burlarch.coordination.register.Member;
 import burlarch.coordination.registry.InstanceRegistry;
@@ -9,9 +10,12 @@
 import burlarch.fleet.controller.api.ControlService;
 import burlarch.fleet.controller.state.SystemState;
 import burlarch.fleet.engine.EngineOrders;
+import burlarch.fleet.node.Membership;
+import burlarch.fleet.node.Roles;
 import burlarch.transport.LinkListener;
 import burlarch.transport.Links;
 import burlarch.transport.Loop;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
@@ -25,7 +29,9 @@
 
     private final Loop loop;
     private final ControllerMessages messages;
+    private final KnownControllers controllers = new KnownControllers();
     private DecidedState decided;
+    private ControllerPeers peers;
 
     /**
      * What a controller acts on.
@@ -49,10 +55,10 @@
     public ControlService start(ControllerSettings settings, ControllerStorage storage, World world) {
         Member own = new Member(storage.store().identity(), settings.ownAddress());
         decided = new DecidedState(storage.firstMembers());
-        ControllerPeers peers = new ControllerPeers(loop, world.links(), own.address());
-        RegisterDriver driver = new RegisterDriver(loop, peers, new AcceptorHost(storage.store(),
-                world.disk()),
-                own.address(), settings.processName(), world.random(), decided::members);
+        peers = new ControllerPeers(loop, world.links(), own.address());
+        AcceptorHost acceptor = new AcceptorHost(storage.store(), world.disk());
+        RegisterDriver driver = new RegisterDriver(loop, peers, acceptor, own.address(),
+                settings.processName(), world.random(), decided::members);
         StateRegister register = new StateRegister(register(driver), decided, peers);
         InstanceRegistry registry = new InstanceRegistry(
                 RegistrySettings.forHeartbeat(settings.heartbeatNanos()), loop.nanoTime());
@@ -63,7 +69,7 @@
         decided.addListener((state, ownProposal) -> peers.learn(
                 decided.members().stream().map(Member::address).toList()));
         new AcceptorKeeper(loop, decided, register, peers, own);
-        startWeightsDuty(settings, register, registry, publisher, peers, world.engines());
+        startWeightsDuty(settings, register, registry, publisher, world.engines());
         messages.start(new ControllerParts(peers, decided, driver, publisher, reads, instances));
         peers.learn(settings.seeds());
         peers.learn(storage.firstMembers().stream().map(Member::address).toList());
@@ -71,17 +77,28 @@
     }
 
     private void startWeightsDuty(ControllerSettings settings, StateRegister register,
-            InstanceRegistry registry, RouterPublisher publisher, ControllerPeers peers,
-                    EngineOrders engines) {
+            InstanceRegistry registry, RouterPublisher publisher, EngineOrders engines) {
         WeightsRollout rollout = new WeightsRollout(RolloutSettings.of(settings.versionMillis()));
         WeightsDuty duty = new WeightsDuty(loop, registry, publisher, engines, rollout);
-        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, peers, WEIGHTS, settings.ownAddress(),
-                settings.processName() + "@" + settings.ownAddress(), settings.leaseNanos(), duty::hasWork,
-                        duty);
+        OwnerWatch owners = new OwnerWatch(peers, controllers, settings.ownAddress());
+        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, owners, WEIGHTS, settings.ownAddress(),
+                OwnerWatch.holderName(settings.processName(), settings.ownAddress()), settings.leaseNanos(),
+                duty::hasWork, duty);
         duty.start(ownership);
         decided.addListener((state, ownProposal) -> duty.onDecided(state));
     }
 
+    /** What membership tells, from now on. */
+    public void onMembers(List<MemberChange> changes) {
+        controllers.onChanges(changes);
+        learn(Membership.appeared(changes, Roles.CONTROLLER));
+    }
+
+    /** Other controllers may be at these addresses. */
+    public void learn(Collection<String> addresses) {
+        peers.learn(addresses);
+    }
+
     /** The register that all parts use. */
     protected Register register(Register driver) {
         return driver;
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -1,19 +1,18 @@
 package burlarch.fleet.controller;
 
+import burlarch.fleet.node.Roles;
 import burlarch.transport.Link;
 import burlarch.transport.LinkListener;
 import burlarch.transport.Loop;
+import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeMessage.ControllerStatus;
 import burlarch.transport.NodeMessage.Decided;
-import burlarch.transport.NodeMessage;
 
-/** Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the loop. */
+/**
+ * Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the
+ * loop.
+ */
 final class ControllerMessages implements LinkListener {
-    /** Role that routers give in their Hello. */
-    static final String ROUTER = "router";
-    /** Role that controllers give in their Hello. */
-    static final String CONTROLLER = "controller";
-
     private static final long STATUS_NANOS = 300_000_000;
 
     private final Loop loop;
@@ -31,10 +30,10 @@
 
     @Override
     public void onUp(Link connection) {
-        if (connection.peer().role().equals(ROUTER)) {
+        if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterUp(connection, parts.peers().knownAddresses());
             parts.reads().onRouterUp(connection);
-        } else if (connection.peer().role().equals(CONTROLLER)) {
+        } else if (connection.peer().role().equals(Roles.CONTROLLER)) {
             parts.peers().onUp(connection);
             connection.send(status());
         }
@@ -42,7 +41,7 @@
 
     @Override
     public void onDown(Link connection) {
-        if (connection.peer().role().equals(ROUTER)) {
+        if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterDown(connection, parts.peers().knownAddresses());
             parts.reads().onRouterDown(connection);
         } else {
--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerProgram.java
@@ -1,12 +1,16 @@
 package burlarch.fleet.controller;
 
 import burlarch.configuration.ConfigurationDocument;
+import burlarch.coordination.membership.SwimSettings;
 import burlarch.fleet.controller.api.ControlServer;
 import burlarch.fleet.controller.api.ControlService;
 import burlarch.fleet.engine.EngineClient;
 import burlarch.fleet.engine.EngineHttp;
+import burlarch.fleet.node.Membership;
 import burlarch.fleet.node.NodeAddresses;
 import burlarch.fleet.node.NodeSettings;
+import burlarch.fleet.node.Roles;
+import burlarch.fleet.node.SettingsWatch;
 import burlarch.fleet.node.Shutdown;
 import burlarch.storage.FolderDisk;
 import burlarch.transport.NodeLoop;
@@ -26,7 +30,10 @@
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.tinylog.Logger;
 
-/** A controller: the operator's API, announcements of instances, a replica of the register, streams to routers. */
+/**
+ * A controller: the operator's API, announcements of instances, a replica of the register, streams to
+ * routers.
+ */
 public final class ControllerProgram {
     private static final long CALL_MILLIS = 930;
     private static final int IDENTITY_BYTES = 12;
@@ -43,31 +50,47 @@
         List<String> seeds = NodeAddresses.seeds(settings);
         ControllerStorage storage = ControllerStorage.open(new FolderDisk(settings.dataDir()), address, seeds,
                 settings.bootstrap(), ControllerProgram::randomHex);
-        String incarnation = randomHex();
+        long process = Incarnations.draw();
+        String incarnation = Incarnations.text(process);
         NodeLoop loop = new NodeLoop("node");
         ControllerCore core = new ControllerCore(loop);
-        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), ControllerMessages.CONTROLLER, address,
+        NodeMessage.Hello hello = new NodeMessage.Hello(settings.nodeName(), Roles.CONTROLLER, address,
                 settings.zone(), storage.store().identity(), incarnation);
         NodeTransport transport = new NodeTransport(loop, hello, NodeAddresses.socket(address),
                 NodeTransport.Listener.of(core.listener()));
-        ControllerSettings decisions = new ControllerSettings(address, seeds,
-                settings.nodeName() + "-" + incarnation, settings.heartbeatNanos(),
-                TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos()),
-                        settings.bounds().leaseNanos(),
-                settings.faultTolerance().machines());
-        loop.execute(() -> serve(settings, core.start(decisions, storage, new ControllerCore.World(transport,
-                diskThread(), new EngineClient(engineHttp()), new SplittableRandom()))));
+        Membership membership = new Membership(loop,
+                new Membership.Self(settings.nodeName(), Roles.CONTROLLER, settings.zone(), process),
+                NodeAddresses.socket(address), seeds, SwimSettings.defaults());
+        ControllerSettings decisions = decisions(settings, address, seeds, incarnation);
+        loop.execute(() -> {
+            ControlService calls = core.start(decisions, storage, new ControllerCore.World(transport,
+                    diskThread(), new EngineClient(engineHttp()), new SplittableRandom()));
+            membership.addListener(core::onMembers);
+            SettingsWatch.start(newer -> loop.execute(() -> core.learn(NodeAddresses.seeds(newer))));
+            membership.start();
+            serve(settings, calls, membership);
+        });
         ConfigurationDocument.prepareChecks();
     }
 
+    private static ControllerSettings decisions(NodeSettings settings, String address, List<String> seeds,
+            String incarnation) {
+        return new ControllerSettings(address, seeds,
+                Incarnations.processName(settings.nodeName(), incarnation), settings.heartbeatNanos(),
+                TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos()),
+                settings.bounds().leaseNanos(), settings.faultTolerance().machines());
+    }
+
     /** The one thread that touches the disk. */
     private static Executor diskThread() {
         return new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>(MOST_WAITING),
-                task -> {
-            Thread thread = new Thread(task, "disk");
-            thread.setDaemon(true);
-            return thread;
-        });
+                ControllerProgram::newDiskThread);
+    }
+
+    private static Thread newDiskThread(Runnable task) {
+        Thread thread = new Thread(task, "disk");
+        thread.setDaemon(true);
+        return thread;
     }
 
     private static HttpClient engineHttp() {
@@ -84,7 +107,7 @@
         }
     }
 
-    private static void serve(NodeSettings settings, ControlService calls) {
+    private static void serve(NodeSettings settings, ControlService calls, Membership membership) {
         ControlServer server = new ControlServer(settings.listen().control(), calls, CALL_MILLIS);
         try {
             server.start();
@@ -92,7 +115,10 @@
             Logger.error(e, "cannot serve {}", settings.listen().control());
             Runtime.getRuntime().halt(1);
         }
-        Shutdown.onSignal(server::stopAccepting);
+        Shutdown.onSignal(() -> {
+            server.stopAccepting();
+            membership.leaveInTime();
+        });
         Logger.info("{} serves {}", settings.nodeName(), settings.listen().control());
     }
 
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -19,8 +19,8 @@
 import org.tinylog.Logger;
 
 /**
- * A router's streams from all controllers: the newest configuration wins, instances are combined, and what has been
- * put into effect is acknowledged. Lives on the loop.
+ * A router's streams from all controllers: the newest configuration wins, instances are combined, and what
+ * has been put into effect is acknowledged. Lives on the loop.
  */
 public final class ControllerLinks implements LinkListener {
     /** Controllers beyond this number are passed over. */
@@ -33,6 +33,7 @@
 
         void onInstances(InstanceViews views);
 
+        /** Controllers tell how many routers are connected with them. */
         void onRouters(int live);
     }
 
@@ -54,7 +55,8 @@
         learn(seeds);
     }
 
-    private void learn(Collection<String> addresses) {
+    /** Connects to those that were not known. */
+    public void learn(Collection<String> addresses) {
         for (String address : addresses) {
             if (controllers.size() < MOST_CONTROLLERS && controllers.add(address)) {
                 transport.connect(Addresses.parse(address));
@@ -62,6 +64,11 @@
         }
     }
 
+    /** Whether more than half of the controllers that are known were heard within the time of a silence. */
+    boolean reachesMostControllers() {
+        return 2 * routersSeen.size() > controllers.size();
+    }
+
     /** Whether a configuration is in force and instances were told: requests can be served. */
     public boolean isInformed() {
         return version > 0 && toldInstances;
--- a/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
@@ -3,23 +3,25 @@
 import burlarch.coordination.registry.Instance;
 import burlarch.coordination.registry.InstanceState;
 import burlarch.coordination.registry.InstanceViews;
+import burlarch.fleet.node.Membership;
+import burlarch.fleet.node.Roles;
 import burlarch.fleet.router.ControllerLinks;
 import burlarch.simulation.NodeContext;
 import burlarch.simulation.SimulatedNode;
 import burlarch.simulation.link.SimulatedLinks;
 import burlarch.simulation.link.SimulatedLoop;
+import burlarch.simulation.link.SimulatedMembership;
 import burlarch.transport.NodeMessage;
 import java.util.List;
 
 /** A router as far as controllers tell it something. */
 final class RouterNode implements SimulatedNode {
-    static final String ROLE = "router";
-
     private final NodeContext context;
     private final List<String> seeds;
     private final Rules rules;
     private final SimulatedLoop loop;
     private SimulatedLinks transport;
+    private SimulatedMembership membership;
     private List<Instance> instances = List.of();
     private long version;
 
@@ -34,18 +36,24 @@
     public void start(long now) {
         loop.enter(now);
         ControllerLinks links = new ControllerLinks(new InForce());
-        NodeMessage.Hello hello = new NodeMessage.Hello(context.name(), ROLE, context.address(), "zone", "",
+        NodeMessage.Hello hello = new NodeMessage.Hello(context.name(), Roles.ROUTER, context.address(), "zone", "",
                 Long.toHexString(context.incarnation()));
         transport = new SimulatedLinks(context, loop, hello, links,
                 failure -> rules.onFailure(context.name(), failure));
         links.start(transport, seeds);
+        membership = new SimulatedMembership(context, loop, Roles.ROUTER, seeds,
+                changes -> links.learn(Membership.appeared(changes, Roles.CONTROLLER)));
         loop.leave();
     }
 
     @Override
     public void onMessage(String from, Object message, long now) {
         loop.enter(now);
-        transport.onPacket(from, message);
+        if (message instanceof byte[] datagram) {
+            membership.onDatagram(from, datagram);
+        } else {
+            transport.onPacket(from, message);
+        }
         loop.leave();
     }
 
