--- a/fleet/src/main/java/burlarch/fleet/router/KeptRelay.java
+++ b/fleet/src/main/java/burlarch/fleet/router/KeptRelay.java
@@ -5,7 +5,7 @@
 import burlarch.fleet.kept.BatchCodec;
 import burlarch.fleet.kept.BatchCodec.GarbledBatch;
 import burlarch.fleet.kept.OutgoingBatch;
-import burlarch.transport.Connection;
+import burlarch.transport.Link;
 import burlarch.transport.NodeLoop;
 import burlarch.transport.NodeMessage.KeptParts;
 import java.util.List;
@@ -22,7 +22,7 @@
     private final IndexFeed feed;
     private final OutgoingBatch batch = new OutgoingBatch();
     private volatile Predicate<String> shared = source -> false;
-    private Supplier<Connection> controller = () -> null;
+    private Supplier<Link> controller = () -> null;
 
     KeptRelay(NodeLoop loop, IndexFeed feed) {
         this.loop = loop;
@@ -35,7 +35,7 @@
      * @param sharedSources tells from any thread whether others wait to be told of that source
      * @param through the controller to send through; null where none is connected
      */
-    void start(Predicate<String> sharedSources, Supplier<Connection> through) {
+    void start(Predicate<String> sharedSources, Supplier<Link> through) {
         controller = through;
         shared = sharedSources;
     }
@@ -72,7 +72,7 @@
 
     private void send() {
         List<KvNews> waiting = batch.take();
-        Connection through = waiting.isEmpty() ? null : controller.get();
+        Link through = waiting.isEmpty() ? null : controller.get();
         if (through != null) {
             through.send(new KeptParts(BatchCodec.encode(waiting)));
         }
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -74,7 +74,7 @@
         UUID incarnation = UUID.randomUUID();
         NodeTransport transport = new NodeTransport(loop, new NodeMessage.Hello(settings.nodeName(),
                 Roles.ROUTER, address, settings.zone(), "", incarnation.toString()),
-                NodeAddresses.socket(address), links);
+                NodeAddresses.socket(address), NodeTransport.Listener.of(links));
         Membership membership = new Membership(loop, new Membership.Self(settings.nodeName(), Roles.ROUTER,
                 settings.zone(), incarnation.getLeastSignificantBits()), NodeAddresses.socket(address), seeds,
                 SwimSettings.defaults());
