--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerCore.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerCore.java
@@ -81,9 +81,10 @@
         WeightsRollout rollout = new WeightsRollout(RolloutSettings.of(settings.versionMillis()));
         WeightsDuty duty = new WeightsDuty(loop, registry, publisher, engines, rollout);
         OwnerWatch owners = new OwnerWatch(peers, controllers, settings.ownAddress());
-        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, owners, WEIGHTS, settings.ownAddress(),
-                OwnerWatch.holderName(settings.processName(), settings.ownAddress()), settings.leaseNanos(),
-                duty::hasWork, duty);
+        OwnershipKeeper ownership = new OwnershipKeeper(loop, register, owners, WEIGHTS,
+                settings.ownAddress(),
+                OwnerWatch.holderName(settings.processName(), settings.ownAddress()),
+                settings.leaseNanos(), duty::hasWork, duty);
         duty.start(ownership);
         decided.addListener((state, ownProposal) -> duty.onDecided(state));
     }
--- a/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
@@ -36,8 +36,8 @@
     public void start(long now) {
         loop.enter(now);
         ControllerLinks links = new ControllerLinks(new InForce());
-        NodeMessage.Hello hello = new NodeMessage.Hello(context.name(), Roles.ROUTER, context.address(), "zone", "",
-                Long.toHexString(context.incarnation()));
+        NodeMessage.Hello hello = new NodeMessage.Hello(context.name(), Roles.ROUTER, context.address(),
+                "zone", "", Long.toHexString(context.incarnation()));
         transport = new SimulatedLinks(context, loop, hello, links,
                 failure -> rules.onFailure(context.name(), failure));
         links.start(transport, seeds);
