--- a/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
@@ -95,5 +95,10 @@
         public void onRouters(int live) {
             // The count steers budgets, which are not under play here.
         }
+
+        @Override
+        public void onKeptParts(byte[] batch) {
+            // What engines keep steers placement, which is not under play here.
+        }
     }
 }
