--- a/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
+++ b/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
@@ -85,7 +85,8 @@
         for (Instance instance : instances) {
             Service service = services.get(instance.service());
             if (service != null && service.engine() != null) {
-                places.put(new Source(instance.id(), instance.address(), false), service.engine().maxInFlight());
+                places.put(new Source(instance.id(), instance.address(), false),
+                        service.engine().maxInFlight());
             }
         }
         follow(owners, places);
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -49,8 +49,8 @@
         NodeLoop loop = new NodeLoop("node");
         IndexFeed feed = new IndexFeed(planner, lock);
         KeptRelay relay = new KeptRelay(loop, feed);
-        EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()), relay, server.delays(), System::nanoTime,
-                () -> ThreadLocalRandom.current().nextDouble());
+        EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()), relay,
+                server.delays(), System::nanoTime, () -> ThreadLocalRandom.current().nextDouble());
         FollowedSources sources = new FollowedSources(settings.nodeName(), follower, feed);
         FleetSize size = new FleetSize(loop, new RouterCount(
                 BudgetSettings.forWindow(settings.bounds().budgetWindowNanos()), settings.bootstrap(),
@@ -67,8 +67,8 @@
     }
 
     /** Connects with the controllers and joins the members. */
-    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links, FleetSize size,
-            FollowedSources sources) throws IOException {
+    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links,
+            FleetSize size, FollowedSources sources) throws IOException {
         String address = NodeAddresses.own(settings);
         List<String> seeds = NodeAddresses.seeds(settings);
         UUID incarnation = UUID.randomUUID();
--- a/transport/src/main/java/burlarch/transport/NodeMessage.java
+++ b/transport/src/main/java/burlarch/transport/NodeMessage.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Router to one controller, which passes it on to its other routers as it is: what engines and stores told
-     * of the parts that they keep. The content is the routers' own affair.
+     * Router to one controller, which passes it on to its other routers as it is: what engines and stores
+     * told of the parts that they keep. The content is the routers' own affair.
      */
     record KeptParts(byte[] batch) implements NodeMessage {
     }
