--- a/fleet/src/main/java/burlarch/fleet/kept/BatchCodec.java
+++ b/fleet/src/main/java/burlarch/fleet/kept/BatchCodec.java
@@ -12,10 +12,9 @@
 import java.util.Map;
 
 /**
- * What routers pass on to one another, as bytes: a version, the salts as texts, then for each piece of
- * news its
- * source, epoch, place and events. Numbers are varints of seven bits a byte, the low ones first; ids of parts
- * have four bytes where these suffice and eight otherwise. The model of an event is left out: the salt
+ * What routers pass on to one another, as bytes: a version, the salts as texts, then for each piece of news
+ * its source, epoch, place and events. Numbers are varints of seven bits a byte, the low ones first; ids of
+ * parts have four bytes where these suffice and eight otherwise. The model of an event is left out: the salt
  * names it.
  */
 public final class BatchCodec {
@@ -121,8 +120,7 @@
             events.add(new KvEvent((head & ADDED) != 0, salt, part, (int) in.number(), ""));
         }
         return new KvNews(new KvEvents(source, epoch, (flags & LOST) != 0, events), (flags & LIST) != 0,
-                since,
-                next);
+                since, next);
     }
 
     private static final class Output extends ByteArrayOutputStream {
--- a/fleet/src/main/java/burlarch/fleet/kept/SourcePositions.java
+++ b/fleet/src/main/java/burlarch/fleet/kept/SourcePositions.java
@@ -9,8 +9,7 @@
 
 /**
  * How far each source's events are known, whoever read them: what comes twice is dropped, and what comes
- * after
- * a gap is marked so. Two readers of one source at a time do no harm.
+ * after a gap is marked so. Two readers of one source at a time do no harm.
  */
 public final class SourcePositions {
     /** Sources beyond this number are not checked. */
