--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -32,8 +32,6 @@
 /** A router: takes requests of clients and sends each to an instance. */
 public final class RouterProgram {
     private static final double NANOS_A_SECOND = 1e9;
-    /** A service of which nothing is heard for this long after the start has no instances. */
-    private static final long MOST_CLOSED_MILLIS = 1500;
 
     private RouterProgram() {
     }
@@ -105,10 +103,9 @@
         private final RouterServer server;
         private final FollowedSources sources;
         private final FleetSize size;
+        private final Opening opening;
         private Configuration configuration;
         private InstanceViews instances;
-        private boolean opening;
-        private boolean open;
 
         InForce(Planner planner, Object lock, RouterServer server, FollowedSources sources,
                 FleetSize size) {
@@ -117,6 +114,7 @@
             this.planner = planner;
             this.lock = lock;
             this.server = server;
+            this.opening = new Opening(server.delays(), server::open);
         }
 
         @Override
@@ -152,19 +150,7 @@
         private void becomeReady() {
             if (configuration != null && instances != null) {
                 server.setReady(true);
-                openInTime();
-            }
-        }
-
-        /** Requests pass once each service was heard of, and some time after the start in any case. */
-        private void openInTime() {
-            if (!open && ServiceCover.isWhole(configuration, instances.instances())) {
-                open = true;
-                server.open();
-            }
-            if (!opening) {
-                opening = true;
-                server.delays().schedule(server::open, MOST_CLOSED_MILLIS);
+                opening.onInformed(configuration, instances.instances());
             }
         }
     }
