--- a/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/ControllerMessages.java
@@ -1,24 +1,24 @@
 package burlarch.fleet.controller;
 
 import burlarch.fleet.node.Roles;
-import burlarch.transport.Connection;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Link;
+import burlarch.transport.LinkListener;
+import burlarch.transport.Loop;
 import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeMessage.ControllerStatus;
 import burlarch.transport.NodeMessage.Decided;
-import burlarch.transport.NodeTransport;
 
 /**
  * Hands messages of other nodes to the parts of a controller, and tells peers regularly what is known. On the
  * loop.
  */
-final class ControllerMessages implements NodeTransport.Listener {
+final class ControllerMessages implements LinkListener {
     private static final long STATUS_NANOS = 300_000_000;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private ControllerParts parts;
 
-    ControllerMessages(NodeLoop loop) {
+    ControllerMessages(Loop loop) {
         this.loop = loop;
     }
 
@@ -29,10 +29,11 @@
     }
 
     @Override
-    public void onUp(Connection connection) {
+    public void onUp(Link connection) {
         if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterUp(connection, parts.peers().knownAddresses());
             parts.reads().onRouterUp(connection);
+            parts.kept().onRouterUp(connection);
         } else if (connection.peer().role().equals(Roles.CONTROLLER)) {
             parts.peers().onUp(connection);
             connection.send(status());
@@ -40,10 +41,11 @@
     }
 
     @Override
-    public void onDown(Connection connection) {
+    public void onDown(Link connection) {
         if (connection.peer().role().equals(Roles.ROUTER)) {
             parts.publisher().onRouterDown(connection, parts.peers().knownAddresses());
             parts.reads().onRouterDown(connection);
+            parts.kept().onRouterDown(connection);
         } else {
             parts.peers().onDown(connection);
             parts.instances().onPeerLost();
@@ -51,8 +53,10 @@
     }
 
     @Override
-    public void onMessage(Connection connection, NodeMessage message) {
-        if (message instanceof NodeMessage.Register register) {
+    public void onMessage(Link connection, NodeMessage message) {
+        if (message instanceof NodeMessage.KeptParts kept) {
+            parts.kept().onKeptParts(connection, kept);
+        } else if (message instanceof NodeMessage.Register register) {
             parts.driver().onMessage(connection, register.message());
         } else if (message instanceof Decided decided) {
             parts.decided().adopt(decided.ballot(), decided.value(), false);
@@ -69,7 +73,7 @@
         }
     }
 
-    private void onStatus(Connection connection, ControllerStatus status) {
+    private void onStatus(Link connection, ControllerStatus status) {
         int known = parts.peers().knownAddresses().size();
         parts.peers().learn(status.controllers());
         if (parts.peers().knownAddresses().size() != known) {
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -6,7 +6,7 @@
 import burlarch.fleet.controller.state.Lease;
 import burlarch.fleet.controller.state.StateChanges;
 import burlarch.fleet.controller.state.SystemState;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Loop;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
@@ -18,6 +18,11 @@
  */
 final class OwnershipKeeper {
     private static final long PERIOD_NANOS = 200_000_000;
+    /**
+     * For this part of a lease the owner acts without another look at the register; the next one waits it out
+     * too.
+     */
+    private static final int PART_TO_ACT = 4;
     /** For so long after its start a controller may not yet be connected to others that live. */
     private static final long GATHERING_NANOS = 1_500_000_000;
 
@@ -29,7 +34,7 @@
         void end();
     }
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final StateRegister register;
     private final OwnerWatch owners;
     private final String key;
@@ -43,11 +48,11 @@
     /** When this process became the owner under its present token, and under which one. */
     private long ownerSinceNanos;
     private long ownerToken = -1;
-    private final long leaseNanos;
+    private final long waitNanos;
     private final long startedNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
-    OwnershipKeeper(NodeLoop loop, StateRegister register, OwnerWatch owners, String key, String ownAddress,
+    OwnershipKeeper(Loop loop, StateRegister register, OwnerWatch owners, String key, String ownAddress,
             String holderName, long leaseNanos, BooleanSupplier hasWork, Duty duty) {
         this.loop = loop;
         this.register = register;
@@ -55,8 +60,9 @@
         this.key = key;
         this.ownAddress = ownAddress;
         this.holderName = holderName;
-        this.leaseNanos = leaseNanos;
-        this.lease = new OwnershipLease(holderName, leaseNanos);
+        long actNanos = leaseNanos / PART_TO_ACT;
+        waitNanos = leaseNanos + actNanos;
+        lease = new OwnershipLease(holderName, leaseNanos, actNanos, waitNanos);
         this.hasWork = hasWork;
         this.duty = duty;
         startedNanos = loop.nanoTime();
@@ -168,9 +174,9 @@
         }
         if (taken.token() != ownerToken) {
             ownerToken = taken.token();
-            ownerSinceNanos = former == null ? now - leaseNanos : now;
+            ownerSinceNanos = former == null ? now - waitNanos : now;
         }
-        boolean waitedOut = now - ownerSinceNanos >= leaseNanos;
+        boolean waitedOut = now - ownerSinceNanos >= waitNanos;
         lease.claimTaken(taken.token(), waitedOut ? null : "another", askedAt, now);
         Logger.info("{} owned under token {}", key, taken.token());
         update();
--- a/routing/src/main/java/burlarch/routing/Engine.java
+++ b/routing/src/main/java/burlarch/routing/Engine.java
@@ -9,17 +9,21 @@
 
 /** One incarnation of an instance of any service, with all that is known of it. */
 final class Engine {
+    private static final double FREE_LOAD = 0.5;
+
     final String id;
     final long idHash;
     final Health health = new Health();
-    final EngineSpeed speed = new EngineSpeed();
+    final EngineSpeed speed;
     final ReadingRate reading = new ReadingRate();
     final MoveSpeed moves = new MoveSpeed();
     final EngineLoad load;
     private final Map<String, Long> versions = new HashMap<>(2);
     private Instance instance;
 
-    Engine(Instance instance) {
+    /** @param usual how fast instances of the service are */
+    Engine(Instance instance, EngineSpeed usual) {
+        this.speed = new EngineSpeed(usual);
         this.id = instance.id();
         this.idHash = Rendezvous.hash(id);
         this.load = new EngineLoad(instance.capacity());
@@ -45,6 +49,12 @@
         return instance.warmupLeftMillis() > 0;
     }
 
+    /** Whether under half of its places are taken, nothing is known to wait and it has read little. */
+    boolean isFree(long nowNanos) {
+        return load.requests(nowNanos) < load.slots() / 2.0 && !load.hasQueue(nowNanos)
+                && reading.load(nowNanos) < FREE_LOAD;
+    }
+
     /** Whether it may serve the model: unless it names others only. */
     boolean serves(String model) {
         List<ServedModel> models = instance.models();
--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -21,10 +21,13 @@
 public final class FleetPlanner implements Planner {
     /** Sends of one request to instances that turned it away, beyond the tries that its route allows. */
     private static final int MOST_NEVER_RAN = 2;
-    private static final long NO_INSTANCE_RETRY_MILLIS = 250;
+    /** Instances announce themselves about every second: one that is new, or all of them to a new router. */
+    private static final long NO_INSTANCE_RETRY_MILLIS = 800;
     private static final long BUSY_RETRY_MILLIS = 150;
     /** Part of the bound for new weights after which engines with old ones get nothing more. */
     private static final double VERSION_GRACE = 0.75;
+    /** Part of the aim within which a first event has to be expected for an engine to count as free. */
+    private static final double FREE_PART_OF_AIM = 0.6;
     /** Fetches a second that one engine is taken to bear before any is known. */
     private static final double START_PER_ENGINE = 10;
 
@@ -87,9 +90,10 @@
         Set<String> ids = new HashSet<>();
         for (Instance instance : instances) {
             ids.add(instance.id());
-            Engine engine = engines.computeIfAbsent(instance.id(), id -> new Engine(instance));
-            engine.update(instance);
             ServiceState service = services.get(instance.service());
+            Engine engine = engines.computeIfAbsent(instance.id(),
+                    id -> new Engine(instance, service == null ? null : service.speed));
+            engine.update(instance);
             if (service != null) {
                 service.engines.add(engine);
                 if (service.isModelService()) {
@@ -115,6 +119,7 @@
 
     @Override
     public void onKvEvents(KvEvents events, long nowNanos) {
+        moves.onHeard(events.source());
         long read = index.onEvents(events, nowNanos);
         Engine engine = engines.get(events.source());
         if (engine != null && read > 0) {
@@ -124,6 +129,7 @@
 
     @Override
     public void onKvList(KvEvents list, long nowNanos) {
+        moves.onHeard(list.source());
         index.onList(list, nowNanos);
     }
 
@@ -151,7 +157,7 @@
         flights.lookAtOverdue(nowNanos);
         ServiceState service = services.get(WeightedSplit.serviceOf(request.route(), request.id()));
         if (service == null) {
-            return new Placement.Refuse(NO_INSTANCE_RETRY_MILLIS, "no such service");
+            return noInstance(request, "no such service", nowNanos);
         }
         AttemptHistory.Tried tried = attempt == 0 ? AttemptHistory.NOTHING : history.of(request.id());
         Placement.Refuse refusal = attempt == 0 ? null : further(request, service, tried, attempt, nowNanos);
@@ -164,13 +170,18 @@
         List<Engine> usable = candidates.of(service, request, tried,
                 (long) (settings.versionMillis() * 1e6 * VERSION_GRACE), nowNanos);
         if (usable.isEmpty()) {
-            return new Placement.Refuse(NO_INSTANCE_RETRY_MILLIS, "no instance is ready");
+            return noInstance(request, "no instance is ready", nowNanos);
         }
         return service.isModelService() && request.model() != null
                 ? placePrompt(request, service, usable, attempt, nowNanos)
                 : placePlain(request, service, usable, attempt, nowNanos);
     }
 
+    private static Placement.Refuse noInstance(RouteRequest request, String reason, long nowNanos) {
+        long wait = (long) (NO_INSTANCE_RETRY_MILLIS * (0.5 + Rendezvous.unit(request.id())));
+        return new Placement.Refuse(bounded(request, wait, nowNanos), reason);
+    }
+
     /** Whether and why a further attempt is not allowed, else null. */
     private static Placement.Refuse further(RouteRequest request, ServiceState service,
             AttemptHistory.Tried tried, int attempt, long nowNanos) {
@@ -214,7 +225,7 @@
             return busy(request, choice.predictedNanos, nowNanos);
         }
         boolean offered = choice.fetch && attempt == 0;
-        if (offered && !admits(request, service, nowNanos)) {
+        if (offered && !admits(request, service, choice, nowNanos)) {
             long wait = service.admission.retryAfterMillis(request);
             return new Placement.Refuse(bounded(request, wait, nowNanos), "over the share of fetches");
         }
@@ -235,9 +246,11 @@
     }
 
     /** The throttle's verdict. Where places are free for sure a refusal would waste them. */
-    private boolean admits(RouteRequest request, ServiceState service, long nowNanos) {
+    private boolean admits(RouteRequest request, ServiceState service, Choice choice, long nowNanos) {
         return service.admission.offer(request, service.bearableFetches() / liveRouters, nowNanos)
-                || service.hasSparePlaces(nowNanos);
+                || service.hasSparePlaces(nowNanos)
+                || choice.engine.isFree(nowNanos)
+                && choice.predictedNanos < FREE_PART_OF_AIM * CostModel.aimLeftNanos(request, nowNanos);
     }
 
     /** Whether the first event is expected too late to be worth a place that others could use. */
--- /dev/null
+++ b/simulation/src/main/java/burlarch/simulation/link/SimulatedMembership.java
@@ -0,0 +1,51 @@
+package burlarch.simulation.link;
+
+import burlarch.coordination.membership.MemberChange;
+import burlarch.coordination.membership.MemberInfo;
+import burlarch.coordination.membership.Swim;
+import burlarch.coordination.membership.SwimSettings;
+import burlarch.coordination.membership.SwimStep;
+import burlarch.simulation.NodeContext;
+import burlarch.transport.Loop;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Membership of one process over the simulated network, with the program's own timers and settings. */
+public final class SimulatedMembership {
+    private final NodeContext context;
+    private final Loop loop;
+    private final Consumer<List<MemberChange>> listener;
+    private final Swim swim;
+    private Loop.Timer timer;
+
+    public SimulatedMembership(NodeContext context, Loop loop, String role, List<String> seeds,
+            Consumer<List<MemberChange>> listener) {
+        this.context = context;
+        this.loop = loop;
+        this.listener = listener;
+        MemberInfo own = new MemberInfo(context.name(), context.address(), role, "zone",
+                context.incarnation());
+        swim = new Swim(own, seeds, SwimSettings.defaults(), context.random().nextLong(), loop.nanoTime());
+        loop.execute(this::onTimer);
+    }
+
+    /** A message of another member has come. */
+    public void onDatagram(String from, byte[] content) {
+        handle(swim.onDatagram(from, content, loop.nanoTime()));
+    }
+
+    private void onTimer() {
+        handle(swim.onTimer(loop.nanoTime()));
+    }
+
+    private void handle(SwimStep step) {
+        if (timer != null) {
+            timer.cancel();
+        }
+        timer = loop.schedule(step.wakeUpAt() - loop.nanoTime(), this::onTimer);
+        step.datagrams().forEach(datagram -> context.send(datagram.to(), datagram.bytes()));
+        if (!step.changes().isEmpty()) {
+            listener.accept(step.changes());
+        }
+    }
+}
