--- a/fleet/src/main/java/burlarch/fleet/engine/EventFollower.java
+++ b/fleet/src/main/java/burlarch/fleet/engine/EventFollower.java
@@ -81,17 +81,25 @@
         }
     }
 
+    /** Asks each source that is followed for its list soon, because others may lack what it told before. */
+    public synchronized void listSoon() {
+        for (Following following : followed.values()) {
+            following.listAsked = true;
+        }
+    }
+
     @Override
     public void close() {
         follow(Set.of());
     }
 
-    /** One source: each step begins once the one before is over, so only {@code stopped} is shared. */
+    /** One source: each step begins once the one before is over, so only the flags are shared. */
     private final class Following implements Runnable, BiConsumer<KvAnswer, Throwable> {
         private final Source source;
         private final EngineAddress address;
         private final SourceProgress progress;
         private volatile boolean stopped;
+        private volatile boolean listAsked;
         private long started;
         private boolean listing;
 
@@ -110,6 +118,10 @@
                 return;
             }
             started = clock.getAsLong();
+            if (listAsked) {
+                listAsked = false;
+                progress.wantList(started);
+            }
             listing = progress.listDue(started);
             CompletableFuture<KvAnswer> call;
             try {
--- a/fleet/src/main/java/burlarch/fleet/engine/SourceProgress.java
+++ b/fleet/src/main/java/burlarch/fleet/engine/SourceProgress.java
@@ -115,7 +115,8 @@
         return new KvNews(new KvEvents(source, epoch, false, answer.events()), true, since, since);
     }
 
-    private void wantList(long now) {
+    /** The list is to be asked for soon, as far as the last one is not too young. */
+    void wantList(long now) {
         if (listWanted) {
             return;
         }
--- a/fleet/src/main/java/burlarch/fleet/kept/BatchCodec.java
+++ b/fleet/src/main/java/burlarch/fleet/kept/BatchCodec.java
@@ -12,9 +12,10 @@
 import java.util.Map;
 
 /**
- * What routers pass on to one another, as bytes: a version, the salts as texts, then for each piece of news its
- * source, epoch, place and events. Numbers are varints of seven bits a byte, the low ones first; ids of parts
- * have four bytes where these suffice and eight otherwise. The model of an event is left out: the salt names it.
+ * What routers pass on to one another, as bytes: a version, the salts as texts, then for each piece of news
+ * its source, epoch, place and events. Numbers are varints of seven bits a byte, the low ones first; ids of
+ * parts have four bytes where these suffice and eight otherwise. The model of an event is left out: the salt
+ * names it.
  */
 public final class BatchCodec {
     private static final int VERSION = 1;
@@ -118,8 +119,8 @@
             long part = in.fixed((head & WIDE) != 0 ? Long.BYTES : Integer.BYTES);
             events.add(new KvEvent((head & ADDED) != 0, salt, part, (int) in.number(), ""));
         }
-        return new KvNews(new KvEvents(source, epoch, (flags & LOST) != 0, events), (flags & LIST) != 0, since,
-                next);
+        KvEvents kept = new KvEvents(source, epoch, (flags & LOST) != 0, events);
+        return new KvNews(kept, (flags & LIST) != 0, since, next);
     }
 
     private static final class Output extends ByteArrayOutputStream {
--- a/fleet/src/main/java/burlarch/fleet/kept/SourceOwners.java
+++ b/fleet/src/main/java/burlarch/fleet/kept/SourceOwners.java
@@ -7,9 +7,9 @@
 
 /**
  * Which sources a router reads itself. Each source holds few calls at once. While it can hold one of every
- * router, all read it. Beyond, one router does, by rendezvous over those that live, and passes on what it read.
- * No other stands by: all know how far a source was read, so the next owner goes on from there and loses
- * nothing.
+ * router, all read it. Beyond, one router does, by rendezvous over those that live, and passes on what it
+ * read. No other stands by: all know how far a source was read, so the next owner goes on from there and
+ * loses nothing.
  */
 public final class SourceOwners {
     /**
@@ -44,8 +44,8 @@
     }
 
     /**
-     * A router that knows few others yet would own nearly all. Those alone may that are among the few that the
-     * source could bear; the best of all is among them but for one case in thousands.
+     * A router that knows few others yet would own nearly all. Those alone may that are among the few that
+     * the source could bear; the best of all is among them but for one case in thousands.
      */
     private boolean mayOwn(String source, int places) {
         return 1 - ShardOwners.unit(self, source) < (double) followers(places) / routers;
--- a/fleet/src/main/java/burlarch/fleet/kept/SourcePositions.java
+++ b/fleet/src/main/java/burlarch/fleet/kept/SourcePositions.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 
 /**
- * How far each source's events are known, whoever read them: what comes twice is dropped, and what comes after
- * a gap is marked so. Two readers of one source at a time do no harm.
+ * How far each source's events are known, whoever read them: what comes twice is dropped, and what comes
+ * after a gap is marked so. Two readers of one source at a time do no harm.
  */
 public final class SourcePositions {
     /** Sources beyond this number are not checked. */
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -37,6 +37,9 @@
         /** Controllers tell how many routers are connected with them. */
         void onRouters(int live);
 
+        /** A controller is out of reach; what was sent to it last may be lost. */
+        void onControllerLost();
+
         /** What another router read of kept parts. */
         void onKeptParts(byte[] batch);
     }
@@ -135,6 +138,7 @@
         if (routersSeen.remove(connection) != null) {
             views.onControllerLost(connection.peer().nodeName());
             effects.onInstances(views);
+            effects.onControllerLost();
         }
     }
 
--- a/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
+++ b/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
@@ -59,8 +59,19 @@
             }
         }
         if (!names.equals(others)) {
+            boolean more = !others.containsAll(names);
             others = names;
             follow();
+            if (more) {
+                onOthersBehind();
+            }
+        }
+    }
+
+    /** Another router is new, or news that was under way to others may be lost: lists make up for it. */
+    void onOthersBehind() {
+        if (!shared.isEmpty()) {
+            follower.listSoon();
         }
     }
 
@@ -85,7 +96,8 @@
         for (Instance instance : instances) {
             Service service = services.get(instance.service());
             if (service != null && service.engine() != null) {
-                places.put(new Source(instance.id(), instance.address(), false), service.engine().maxInFlight());
+                places.put(new Source(instance.id(), instance.address(), false),
+                        service.engine().maxInFlight());
             }
         }
         follow(owners, places);
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -47,8 +47,8 @@
         NodeLoop loop = new NodeLoop("node");
         IndexFeed feed = new IndexFeed(planner, lock);
         KeptRelay relay = new KeptRelay(loop, feed);
-        EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()), relay, server.delays(), System::nanoTime,
-                () -> ThreadLocalRandom.current().nextDouble());
+        EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()), relay,
+                server.delays(), System::nanoTime, () -> ThreadLocalRandom.current().nextDouble());
         FollowedSources sources = new FollowedSources(settings.nodeName(), follower, feed);
         FleetSize size = new FleetSize(loop, new RouterCount(
                 BudgetSettings.forWindow(settings.bounds().budgetWindowNanos()), settings.bootstrap(),
@@ -150,6 +150,11 @@
             size.onTold(live);
         }
 
+        @Override
+        public void onControllerLost() {
+            sources.onOthersBehind();
+        }
+
         @Override
         public void onKeptParts(byte[] batch) {
             relay.onBatch(batch);
--- a/fleet/src/test/java/burlarch/fleet/engine/EventFollowerTest.java
+++ b/fleet/src/test/java/burlarch/fleet/engine/EventFollowerTest.java
@@ -107,6 +107,30 @@
         assertThat(engine.asked()).contains("kv-list");
     }
 
+    @Test
+    void asksForTheListWhereOthersLackNews() throws Exception {
+        engine.answers(200, answer(7, 20, false, "")).answers(200, answer(7, 20, false, ""))
+                .answers(200, "{\"epoch\":7,\"next_page_token\":30,\"held\":[]}");
+        followEngine();
+        next();
+        follower.listSoon();
+        next();
+        now.addAndGet(TimeUnit.MILLISECONDS.toNanos(250));
+        next();
+        assertThat(engine.asked()).contains("kv-events?since=0");
+        assertThat(engine.asked()).contains("kv-events?since=20");
+        assertThat(engine.asked()).contains("kv-list");
+    }
+
+    @Test
+    void goesOnFromAKnownPlace() throws Exception {
+        engine.answers(200, answer(7, 21, false, "[21,\"+\",\"s\",\"a\",10,\"m\"]"));
+        follower.follow(List.of(new Source("i-1", engine.address(), false)), name -> new KvPosition(7, 20));
+        next();
+        assertThat(engine.asked()).contains("kv-events?since=20");
+        assertThat(told()).isEqualTo("events i-1 7 +s:a:10:m");
+    }
+
     @Test
     void waitsASecondWhereCallsAreLimited() throws Exception {
         engine.answers(429, "").answers(429, "").answers(200, answer(7, 1, false, ""));
