--- a/fleet/src/main/java/burlarch/fleet/controller/KeptForwarder.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/KeptForwarder.java
@@ -1,8 +1,8 @@
 package burlarch.fleet.controller;
 
-import burlarch.transport.Connection;
+import burlarch.transport.Link;
 import burlarch.transport.FrameCodec;
-import burlarch.transport.NodeLoop;
+import burlarch.transport.Loop;
 import burlarch.transport.NodeMessage.KeptParts;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -18,28 +18,28 @@
     /** What may wait; with more it leaves at once. */
     private static final int MOST_WAITING = 256;
 
-    private final NodeLoop loop;
+    private final Loop loop;
     private final FrameCodec codec;
-    private final Set<Connection> routers = new HashSet<>();
+    private final Set<Link> routers = new HashSet<>();
     private List<Waiting> waiting = new ArrayList<>();
 
-    private record Waiting(Connection from, byte[] frame) {
+    private record Waiting(Link from, byte[] frame) {
     }
 
-    KeptForwarder(NodeLoop loop, FrameCodec codec) {
+    KeptForwarder(Loop loop, FrameCodec codec) {
         this.loop = loop;
         this.codec = codec;
     }
 
-    void onRouterUp(Connection router) {
+    void onRouterUp(Link router) {
         routers.add(router);
     }
 
-    void onRouterDown(Connection router) {
+    void onRouterDown(Link router) {
         routers.remove(router);
     }
 
-    void onKeptParts(Connection from, KeptParts parts) {
+    void onKeptParts(Link from, KeptParts parts) {
         waiting.add(new Waiting(from, codec.encode(parts)));
         if (waiting.size() >= MOST_WAITING) {
             forward();
@@ -51,7 +51,7 @@
     private void forward() {
         List<Waiting> leaving = waiting;
         waiting = new ArrayList<>();
-        for (Connection router : routers) {
+        for (Link router : routers) {
             for (int i = 0; i < leaving.size(); i++) {
                 Waiting one = leaving.get(i);
                 if (one.from() != router) {
--- a/fleet/src/main/java/burlarch/fleet/node/SettingsWatch.java
+++ b/fleet/src/main/java/burlarch/fleet/node/SettingsWatch.java
@@ -29,10 +29,16 @@
     }
 
     /**
-     * Watches the file that the environment names; {@code changed} is called on a thread of the watch's own.
+     * Watches the file that the environment names; {@code changed} is called on a thread of the watch's
+     * own. Does
+     * nothing where it names none, as the settings have come otherwise then.
      */
     public static void start(Consumer<NodeSettings> changed) {
-        SettingsWatch watch = new SettingsWatch(Path.of(System.getenv(NodeSettings.FILE_VARIABLE)), changed);
+        String file = System.getenv(NodeSettings.FILE_VARIABLE);
+        if (file == null) {
+            return;
+        }
+        SettingsWatch watch = new SettingsWatch(Path.of(file), changed);
         HangUp.listen(watch::onSignal);
         Thread thread = new Thread(watch, "settings");
         thread.setDaemon(true);
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -3,15 +3,16 @@
 import burlarch.coordination.ownership.ShardOwners;
 import burlarch.coordination.registry.InstanceViews;
 import burlarch.settings.Addresses;
-import burlarch.transport.Connection;
-import burlarch.transport.NodeMessage;
+import burlarch.transport.Link;
+import burlarch.transport.LinkListener;
+import burlarch.transport.Links;
 import burlarch.transport.NodeMessage.ConfigurationAck;
 import burlarch.transport.NodeMessage.ConfigurationUpdate;
 import burlarch.transport.NodeMessage.FleetUpdate;
 import burlarch.transport.NodeMessage.InstancesAck;
 import burlarch.transport.NodeMessage.InstancesUpdate;
 import burlarch.transport.NodeMessage.KeptParts;
-import burlarch.transport.NodeTransport;
+import burlarch.transport.NodeMessage;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,12 +24,12 @@
  * A router's streams from all controllers: the newest configuration wins, instances are combined, and what
  * has been put into effect is acknowledged. Lives on the loop.
  */
-final class ControllerLinks implements NodeTransport.Listener {
+public final class ControllerLinks implements LinkListener {
     /** Controllers beyond this number are passed over. */
     private static final int MOST_CONTROLLERS = 32;
 
     /** Puts into effect what controllers tell; each call returns once it is in effect. */
-    interface Effects {
+    public interface Effects {
         /** @return whether the configuration could be read and is in force */
         boolean onConfiguration(long version, byte[] json);
 
@@ -46,24 +47,24 @@
 
     private final Effects effects;
     private final InstanceViews views = new InstanceViews();
-    private final Map<Connection, Integer> routersSeen = new HashMap<>();
+    private final Map<Link, Integer> routersSeen = new HashMap<>();
     private final Set<String> controllers = new HashSet<>();
-    private NodeTransport transport;
+    private Links transport;
     private long version;
     private boolean toldInstances;
 
-    ControllerLinks(Effects effects) {
+    public ControllerLinks(Effects effects) {
         this.effects = effects;
     }
 
     /** Connects to the first controllers; to be called once, before any connection is up. */
-    void start(NodeTransport ownTransport, Collection<String> seeds) {
+    public void start(Links ownTransport, Collection<String> seeds) {
         transport = ownTransport;
         learn(seeds);
     }
 
     /** Connects to those that were not known. */
-    void learn(Collection<String> addresses) {
+    public void learn(Collection<String> addresses) {
         for (String address : addresses) {
             if (controllers.size() < MOST_CONTROLLERS && controllers.add(address)) {
                 transport.connect(Addresses.parse(address));
@@ -77,15 +78,15 @@
     }
 
     /** Whether a configuration is in force and instances were told: requests can be served. */
-    boolean isInformed() {
+    public boolean isInformed() {
         return version > 0 && toldInstances;
     }
 
     /** The controller through which that router passes on what it reads, or null where none is connected. */
-    Connection relayFor(String router) {
-        Connection best = null;
+    Link relayFor(String router) {
+        Link best = null;
         double most = -1;
-        for (Connection connection : routersSeen.keySet()) {
+        for (Link connection : routersSeen.keySet()) {
             double score = ShardOwners.unit(connection.peer().nodeName(), router);
             if (score > most) {
                 most = score;
@@ -96,13 +97,13 @@
     }
 
     @Override
-    public void onUp(Connection connection) {
+    public void onUp(Link connection) {
         Logger.info("controller {} connected", connection.peer().nodeName());
         routersSeen.put(connection, 1);
     }
 
     @Override
-    public void onMessage(Connection connection, NodeMessage message) {
+    public void onMessage(Link connection, NodeMessage message) {
         if (message instanceof ConfigurationUpdate update) {
             onConfiguration(connection, update);
         } else if (message instanceof InstancesUpdate update) {
@@ -119,7 +120,7 @@
         }
     }
 
-    private void onConfiguration(Connection connection, ConfigurationUpdate update) {
+    private void onConfiguration(Link connection, ConfigurationUpdate update) {
         if (update.version() > version) {
             if (!effects.onConfiguration(update.version(), update.json())) {
                 return;
@@ -133,7 +134,7 @@
     }
 
     @Override
-    public void onDown(Connection connection) {
+    public void onDown(Link connection) {
         Logger.info("controller {} lost", connection.peer().nodeName());
         if (routersSeen.remove(connection) != null) {
             views.onControllerLost(connection.peer().nodeName());
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -32,6 +32,8 @@
 /** A router: takes requests of clients and sends each to an instance. */
 public final class RouterProgram {
     private static final double NANOS_A_SECOND = 1e9;
+    /** A service of which nothing is heard for this long after the start has no instances. */
+    private static final long MOST_CLOSED_MILLIS = 1500;
 
     private RouterProgram() {
     }
@@ -48,7 +50,8 @@
         IndexFeed feed = new IndexFeed(planner, lock);
         KeptRelay relay = new KeptRelay(loop, feed);
         EventFollower follower = new EventFollower(new EngineClient(server.newEngineHttp()), relay,
-                server.delays(), System::nanoTime, () -> ThreadLocalRandom.current().nextDouble());
+                server.delays(), System::nanoTime,
+                () -> ThreadLocalRandom.current().nextDouble());
         FollowedSources sources = new FollowedSources(settings.nodeName(), follower, feed);
         FleetSize size = new FleetSize(loop, new RouterCount(
                 BudgetSettings.forWindow(settings.bounds().budgetWindowNanos()), settings.bootstrap(),
@@ -65,13 +68,15 @@
     }
 
     /** Connects with the controllers and joins the members. */
-    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links, FleetSize size,
+    private static Membership join(NodeSettings settings, NodeLoop loop, ControllerLinks links,
+            FleetSize size,
             FollowedSources sources) throws IOException {
         String address = NodeAddresses.own(settings);
         List<String> seeds = NodeAddresses.seeds(settings);
         UUID incarnation = UUID.randomUUID();
-        NodeTransport transport = new NodeTransport(loop, new NodeMessage.Hello(settings.nodeName(), Roles.ROUTER,
-                address, settings.zone(), "", incarnation.toString()), NodeAddresses.socket(address), links);
+        NodeTransport transport = new NodeTransport(loop, new NodeMessage.Hello(settings.nodeName(),
+                Roles.ROUTER, address, settings.zone(), "", incarnation.toString()),
+                NodeAddresses.socket(address), NodeTransport.Listener.of(links));
         Membership membership = new Membership(loop, new Membership.Self(settings.nodeName(), Roles.ROUTER,
                 settings.zone(), incarnation.getLeastSignificantBits()), NodeAddresses.socket(address), seeds,
                 SwimSettings.defaults());
@@ -107,8 +112,10 @@
         private final FollowedSources sources;
         private final FleetSize size;
         private final KeptRelay relay;
-        private boolean configured;
-        private boolean instancesTold;
+        private Configuration configuration;
+        private InstanceViews instances;
+        private boolean opening;
+        private boolean open;
 
         InForce(Planner planner, Object lock, RouterServer server, FollowedSources sources,
                 FleetSize size, KeptRelay relay) {
@@ -123,10 +130,10 @@
         @Override
         public boolean onConfiguration(long version, byte[] json) {
             try {
-                Configuration configuration = ConfigurationDocument.parseTrusted(json);
-                server.onConfiguration(configuration);
-                sources.onConfiguration(configuration);
-                configured = true;
+                Configuration newer = ConfigurationDocument.parseTrusted(json);
+                server.onConfiguration(newer);
+                sources.onConfiguration(newer);
+                configuration = newer;
                 becomeReady();
                 return true;
             } catch (InvalidConfiguration unreadable) {
@@ -141,7 +148,7 @@
                 planner.onInstances(views.instances(), System.nanoTime());
             }
             sources.onInstances(views.instances());
-            instancesTold = true;
+            instances = views;
             becomeReady();
         }
 
@@ -161,8 +168,21 @@
         }
 
         private void becomeReady() {
-            if (configured && instancesTold) {
+            if (configuration != null && instances != null) {
                 server.setReady(true);
+                openInTime();
+            }
+        }
+
+        /** Requests pass once each service was heard of, and some time after the start in any case. */
+        private void openInTime() {
+            if (!open && ServiceCover.isWhole(configuration, instances.instances())) {
+                open = true;
+                server.open();
+            }
+            if (!opening) {
+                opening = true;
+                server.delays().schedule(server::open, MOST_CLOSED_MILLIS);
             }
         }
     }
