--- a/fleet/src/main/java/burlarch/fleet/kept/BatchCodec.java
+++ b/fleet/src/main/java/burlarch/fleet/kept/BatchCodec.java
@@ -119,8 +119,8 @@
             long part = in.fixed((head & WIDE) != 0 ? Long.BYTES : Integer.BYTES);
             events.add(new KvEvent((head & ADDED) != 0, salt, part, (int) in.number(), ""));
         }
-        return new KvNews(new KvEvents(source, epoch, (flags & LOST) != 0, events), (flags & LIST) != 0,
-                since, next);
+        KvEvents kept = new KvEvents(source, epoch, (flags & LOST) != 0, events);
+        return new KvNews(kept, (flags & LIST) != 0, since, next);
     }
 
     private static final class Output extends ByteArrayOutputStream {
--- a/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
+++ b/fleet/src/main/java/burlarch/fleet/router/ControllerLinks.java
@@ -38,6 +38,9 @@
         /** Controllers tell how many routers are connected with them. */
         void onRouters(int live);
 
+        /** A controller is out of reach; what was sent to it last may be lost. */
+        void onControllerLost();
+
         /** What another router read of kept parts. */
         void onKeptParts(byte[] batch);
     }
@@ -136,6 +139,7 @@
         if (routersSeen.remove(connection) != null) {
             views.onControllerLost(connection.peer().nodeName());
             effects.onInstances(views);
+            effects.onControllerLost();
         }
     }
 
--- a/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
+++ b/fleet/src/main/java/burlarch/fleet/router/FollowedSources.java
@@ -59,8 +59,19 @@
             }
         }
         if (!names.equals(others)) {
+            boolean more = !others.containsAll(names);
             others = names;
             follow();
+            if (more) {
+                onOthersBehind();
+            }
+        }
+    }
+
+    /** Another router is new, or news that was under way to others may be lost: lists make up for it. */
+    void onOthersBehind() {
+        if (!shared.isEmpty()) {
+            follower.listSoon();
         }
     }
 
--- a/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
+++ b/fleet/src/main/java/burlarch/fleet/router/RouterProgram.java
@@ -155,6 +155,11 @@
             size.onTold(live);
         }
 
+        @Override
+        public void onControllerLost() {
+            sources.onOthersBehind();
+        }
+
         @Override
         public void onKeptParts(byte[] batch) {
             relay.onBatch(batch);
