--- a/coordination/src/main/java/burlarch/coordination/ownership/OwnershipLease.java
+++ b/coordination/src/main/java/burlarch/coordination/ownership/OwnershipLease.java
@@ -9,12 +9,15 @@
  * lease from its own claim. So a whole lease lies between the acts of the two.
  */
 public final class OwnershipLease {
-    private static final int PART_TO_ACT = 2;
+    /**
+     * For this part of a lease the holder acts without another look at the register; the next one waits it
+     * out too.
+     */
+    private static final int PART_TO_ACT = 4;
 
     private final String self;
     private final long leaseNanos;
     private final long actNanos;
-    private final long waitNanos;
     private LeaseState state = LeaseState.FREE;
     private long token;
     private long claimedAt;
@@ -25,19 +28,14 @@
      *         waits its former self out
      */
     public OwnershipLease(String self, long leaseNanos) {
-        this(self, leaseNanos, leaseNanos / PART_TO_ACT, leaseNanos);
-    }
-
-    /**
-     * @param actNanos how long the holder acts after it asked for a view that shows it as such
-     * @param waitNanos how long a new holder waits; with {@code leaseNanos} and {@code actNanos} together a
-     *     whole lease lies between two holders' acts
-     */
-    public OwnershipLease(String self, long leaseNanos, long actNanos, long waitNanos) {
         this.self = self;
         this.leaseNanos = leaseNanos;
-        this.actNanos = actNanos;
-        this.waitNanos = waitNanos;
+        actNanos = leaseNanos / PART_TO_ACT;
+    }
+
+    /** How long a new holder waits from its claim, so that a whole lease lies between the acts of the two. */
+    public long waitNanos() {
+        return leaseNanos + actNanos;
     }
 
     /** The claim goes to the register now. Returns false where the duty isn't free here. */
@@ -95,7 +93,7 @@
     public void onTimer(long now) {
         if (inPossession() && now - confirmedAt >= leaseNanos) {
             become(LeaseState.LOST);
-        } else if (state == LeaseState.WAITING_OUT && now - claimedAt >= waitNanos) {
+        } else if (state == LeaseState.WAITING_OUT && now - claimedAt >= waitNanos()) {
             become(LeaseState.HOLDING);
         }
     }
--- a/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
+++ b/fleet/src/main/java/burlarch/fleet/controller/OwnershipKeeper.java
@@ -18,11 +18,6 @@
  */
 final class OwnershipKeeper {
     private static final long PERIOD_NANOS = 200_000_000;
-    /**
-     * For this part of a lease the owner acts without another look at the register; the next one waits it out
-     * too.
-     */
-    private static final int PART_TO_ACT = 4;
     /** For so long after its start a controller may not yet be connected to others that live. */
     private static final long GATHERING_NANOS = 1_500_000_000;
 
@@ -48,7 +43,6 @@
     /** When this process became the owner under its present token, and under which one. */
     private long ownerSinceNanos;
     private long ownerToken = -1;
-    private final long waitNanos;
     private final long startedNanos;
 
     /** @param holderName unique for this start of this process, ending in {@code @} and its address */
@@ -60,9 +54,7 @@
         this.key = key;
         this.ownAddress = ownAddress;
         this.holderName = holderName;
-        long actNanos = leaseNanos / PART_TO_ACT;
-        waitNanos = leaseNanos + actNanos;
-        lease = new OwnershipLease(holderName, leaseNanos, actNanos, waitNanos);
+        lease = new OwnershipLease(holderName, leaseNanos);
         this.hasWork = hasWork;
         this.duty = duty;
         startedNanos = loop.nanoTime();
@@ -174,9 +166,9 @@
         }
         if (taken.token() != ownerToken) {
             ownerToken = taken.token();
-            ownerSinceNanos = former == null ? now - waitNanos : now;
+            ownerSinceNanos = former == null ? now - lease.waitNanos() : now;
         }
-        boolean waitedOut = now - ownerSinceNanos >= waitNanos;
+        boolean waitedOut = now - ownerSinceNanos >= lease.waitNanos();
         lease.claimTaken(taken.token(), waitedOut ? null : "another", askedAt, now);
         Logger.info("{} owned under token {}", key, taken.token());
         update();
