--- a/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/RouterNode.java
@@ -96,6 +96,11 @@
             // The count steers budgets, which are not under play here.
         }
 
+        @Override
+        public void onControllerLost() {
+            // Nothing was passed on that could be lost with it.
+        }
+
         @Override
         public void onKeptParts(byte[] batch) {
             // What engines keep steers placement, which is not under play here.
