--- a/routing/src/main/java/burlarch/routing/Engine.java
+++ b/routing/src/main/java/burlarch/routing/Engine.java
@@ -9,6 +9,8 @@
 
 /** One incarnation of an instance of any service, with all that is known of it. */
 final class Engine {
+    private static final double FREE_LOAD = 0.5;
+
     final String id;
     final long idHash;
     final Health health = new Health();
@@ -47,6 +49,12 @@
         return instance.warmupLeftMillis() > 0;
     }
 
+    /** Whether under half of its places are taken, nothing is known to wait and it has read little. */
+    boolean isFree(long nowNanos) {
+        return load.requests(nowNanos) < load.slots() / 2.0 && !load.hasQueue(nowNanos)
+                && reading.load(nowNanos) < FREE_LOAD;
+    }
+
     /** Whether it may serve the model: unless it names others only. */
     boolean serves(String model) {
         List<ServedModel> models = instance.models();
--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -26,6 +26,8 @@
     private static final long BUSY_RETRY_MILLIS = 150;
     /** Part of the bound for new weights after which engines with old ones get nothing more. */
     private static final double VERSION_GRACE = 0.75;
+    /** Part of the aim within which a first event has to be expected for an engine to count as free. */
+    private static final double FREE_PART_OF_AIM = 0.6;
     /** Fetches a second that one engine is taken to bear before any is known. */
     private static final double START_PER_ENGINE = 10;
 
@@ -223,7 +225,7 @@
             return busy(request, choice.predictedNanos, nowNanos);
         }
         boolean offered = choice.fetch && attempt == 0;
-        if (offered && !admits(request, service, nowNanos)) {
+        if (offered && !admits(request, service, choice, nowNanos)) {
             long wait = service.admission.retryAfterMillis(request);
             return new Placement.Refuse(bounded(request, wait, nowNanos), "over the share of fetches");
         }
@@ -244,9 +246,11 @@
     }
 
     /** The throttle's verdict. Where places are free for sure a refusal would waste them. */
-    private boolean admits(RouteRequest request, ServiceState service, long nowNanos) {
+    private boolean admits(RouteRequest request, ServiceState service, Choice choice, long nowNanos) {
         return service.admission.offer(request, service.bearableFetches() / liveRouters, nowNanos)
-                || service.hasSparePlaces(nowNanos);
+                || service.hasSparePlaces(nowNanos)
+                || choice.engine.isFree(nowNanos)
+                && choice.predictedNanos < FREE_PART_OF_AIM * CostModel.aimLeftNanos(request, nowNanos);
     }
 
     /** Whether the first event is expected too late to be worth a place that others could use. */
