--- a/routing/src/main/java/burlarch/routing/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/FleetPlanner.java
@@ -4,6 +4,7 @@
 import burlarch.configuration.Configuration.Route;
 import burlarch.configuration.Configuration.RouteType;
 import burlarch.configuration.Configuration.Service;
+import burlarch.configuration.WeightedSplit;
 import burlarch.coordination.registry.Instance;
 import burlarch.coordination.registry.Instance.ServedModel;
 import burlarch.routing.index.PromptIndex;
@@ -155,7 +156,7 @@
     @Override
     public Placement place(RouteRequest request, int attempt, long nowNanos) {
         flights.lookAtOverdue(nowNanos);
-        ServiceState service = services.get(WeightedSplit.serviceOf(request.route(), request.id()));
+        ServiceState service = services.get(serviceOf(request));
         if (service == null) {
             return noInstance(request, "no such service", nowNanos);
         }
@@ -182,6 +183,11 @@
         return new Placement.Refuse(bounded(request, wait, nowNanos), reason);
     }
 
+    /** The same for each attempt of a request. */
+    private static String serviceOf(RouteRequest request) {
+        return WeightedSplit.pick(request.route(), Rendezvous.hash(request.id()));
+    }
+
     /** Whether and why a further attempt is not allowed, else null. */
     private static Placement.Refuse further(RouteRequest request, ServiceState service,
             AttemptHistory.Tried tried, int attempt, long nowNanos) {
