--- a/standins/src/test/java/burlarch/standins/fleet/FleetTest.java
+++ b/standins/src/test/java/burlarch/standins/fleet/FleetTest.java
@@ -160,6 +160,7 @@
             assertEquals('H', begun.getInputStream().read());
             assertEquals('H', later.getInputStream().read());
         }
+        await(() -> fates().size() >= 2);
         assertEquals(2, fates().size());
     }
 
