--- a/emulator/src/main/java/burlarch/emulator/demo/DemoConfiguration.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/DemoConfiguration.java
@@ -46,6 +46,22 @@
                 + "{\"name\":\"green\",\"api_keys\":[\"" + KEYS[1] + "\"]}]}";
     }
 
+    /** One route of streams to engines that take so many at once. */
+    static String bench(int slots) {
+        return "{\"config_version\":1,\"routes\":[{\"name\":\"talk\",\"hostname\":\"" + HOST
+                + "\",\"path_prefix\":\"" + TALK + "\",\"route_type\":\"streaming\",\"timeout_ms\":60000,"
+                + "\"target_latency_ms\":5000,\"priority\":1,\"service\":\"" + ENGINES
+                + "\",\"retries\":2,\"session_affinity\":true,\"resumable\":true,\"gap_aim_ms\":5000}],"
+                + "\"services\":[{\"name\":\"" + ENGINES + "\",\"health_check\":\"/healthz\","
+                + "\"max_connections\":" + slots + ",\"protocol\":\"h1\",\"tls\":false,"
+                + "\"engine\":{\"capacity\":" + slots
+                + ",\"kv_capacity\":65536,\"kv_token_bytes\":1024,\"link_mbps\":10000.0,\"stride\":1,"
+                + "\"max_in_flight\":8,\"models\":[{\"name\":\"" + MODEL + "\"}]}}],"
+                + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,"
+                + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+                + "\"tenants\":[{\"name\":\"red\",\"api_keys\":[\"" + KEYS[0] + "\"],\"isolated\":true}]}";
+    }
+
     /** Sends the reads to another service, and marks the version. */
     static String patch(long version, long former, String readsGoTo) {
         return "{\"config_version\":" + version + ",\"upsert\":{\"routes\":["
--- a/emulator/src/main/java/burlarch/emulator/demo/FleetDemo.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/FleetDemo.java
@@ -8,12 +8,10 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.stream.Stream;
 
 /** The demo's script. What it starts it ends by its id, however it ends itself. */
 final class FleetDemo {
@@ -65,7 +63,7 @@
     private static void leave(Thread atExit, Path folder) throws IOException {
         try {
             Runtime.getRuntime().removeShutdownHook(atExit);
-            delete(folder);
+            DemoFolder.delete(folder);
         } catch (IllegalStateException interrupted) {
             // The process is ending already, and the hook does the rest.
         }
@@ -217,17 +215,9 @@
             for (FleetProcess process : all()) {
                 process.killForGood();
             }
-            delete(folder);
+            DemoFolder.delete(folder);
         } catch (IOException | InterruptedException e) {
             output.println("burlarch: left behind: " + folder);
         }
     }
-
-    private static void delete(Path folder) throws IOException {
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
-            }
-        }
-    }
 }
--- a/emulator/src/main/java/burlarch/emulator/demo/FleetProcess.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/FleetProcess.java
@@ -9,16 +9,23 @@
 final class FleetProcess {
     private static final long GRACE_SECONDS = 5;
 
-    private final String role;
-    private final Path jar;
+    private final List<String> command;
+    private final Path directory;
     private final Path settings;
     private final Path log;
     private Process process;
     private boolean over;
 
     FleetProcess(String role, Path jar, Path settings, Path log) {
-        this.role = role;
-        this.jar = jar;
+        this(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx96m",
+                "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-jar",
+                jar.toString(), role), Path.of("").toAbsolutePath(), settings, log);
+    }
+
+    /** @param directory in which the command is run */
+    FleetProcess(List<String> command, Path directory, Path settings, Path log) {
+        this.command = List.copyOf(command);
+        this.directory = directory;
         this.settings = settings;
         this.log = log;
     }
@@ -27,10 +34,7 @@
         if (over) {
             throw new IOException("the demo is over");
         }
-        ProcessBuilder builder = new ProcessBuilder(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx96m", "-Xss256k",
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-jar", jar.toString(),
-                role));
+        ProcessBuilder builder = new ProcessBuilder(command).directory(directory.toFile());
         builder.environment().put("BURLARCH_NODE_FILE", settings.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         process = builder.start();
@@ -55,6 +59,10 @@
         return process != null && process.isAlive();
     }
 
+    synchronized long pid() {
+        return process.pid();
+    }
+
     /** Asks it to end. */
     synchronized void terminate() {
         if (process != null) {
--- a/emulator/src/main/java/burlarch/emulator/demo/Main.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/Main.java
@@ -25,9 +25,15 @@
               --seconds N    of traffic, 15 or more (default 15)
               --jar FILE     the fleet's program (default target/burlarch.jar)
               --logs FOLDER  where the programs' logs are kept (default: a folder that goes with the demo)
+            burlarch fleet-bench [--seconds N] [--home FOLDER]
+              Starts 3 controllers and a router as the deployment does, and in this process an engine and
+              clients, and measures: CPU up to ready, CPU at rest, what the router adds to the age of a
+              stream's events at half a core, memory with 300 open streams.
+              --seconds N    of each measurement, 5 or more (default 10)
+              --home FOLDER  with deploy/system.toml and the build (default: where it is called)
             Exit codes:
-              0  the verdict is good
-              1  a bar of the verdict is missed
+              0  the verdict is good, or all goals are reached
+              1  a bar of the verdict, or a goal, is missed
               2  it could not run""";
 
     @Option(name = "--help", help = true)
@@ -37,8 +43,9 @@
     private boolean version;
 
     @Argument(metaVar = "COMMAND", required = true, handler = SubCommandHandler.class)
-    @SubCommands({@SubCommand(name = "fleet-demo", impl = DemoOptions.class)})
-    private DemoOptions options;
+    @SubCommands({@SubCommand(name = "fleet-demo", impl = DemoOptions.class),
+            @SubCommand(name = "fleet-bench", impl = BenchOptions.class)})
+    private Command options;
 
     private Main() {
     }
@@ -70,15 +77,47 @@
             return PASSED;
         }
         try {
-            return new FleetDemo(main.options, output).run() ? PASSED : FAILED;
+            return main.options.run(output) ? PASSED : FAILED;
         } catch (Exception e) {
             errors.println("burlarch: " + e);
             return COULD_NOT_RUN;
         }
     }
 
+    /** One of the commands with its options. */
+    interface Command {
+        boolean help();
+
+        /** Runs it; returns whether all bars are cleared. */
+        boolean run(PrintStream output) throws Exception;
+    }
+
+    /** What the bench is told. Public, as args4j makes it. */
+    public static final class BenchOptions implements Command {
+        private static final int LEAST_SECONDS = 5;
+
+        @Option(name = "--help", help = true)
+        private boolean help;
+
+        @Option(name = "--seconds")
+        private int seconds = 10;
+
+        @Option(name = "--home")
+        private Path home = Path.of("");
+
+        @Override
+        public boolean help() {
+            return help;
+        }
+
+        @Override
+        public boolean run(PrintStream output) throws Exception {
+            return new FleetBench(home.toAbsolutePath(), Math.max(LEAST_SECONDS, seconds), output).run();
+        }
+    }
+
     /** What the demo is told. Public, as args4j makes it. */
-    public static final class DemoOptions {
+    public static final class DemoOptions implements Command {
         private static final int LEAST_SECONDS = 15;
 
         @Option(name = "--help", help = true)
@@ -93,10 +132,16 @@
         @Option(name = "--logs")
         private Path logs;
 
-        boolean help() {
+        @Override
+        public boolean help() {
             return help;
         }
 
+        @Override
+        public boolean run(PrintStream output) throws Exception {
+            return new FleetDemo(this, output).run();
+        }
+
         int seconds() {
             return Math.max(LEAST_SECONDS, seconds);
         }
