--- a/controller/src/main/java/burlarch/controller/ControllerProgram.java
+++ b/controller/src/main/java/burlarch/controller/ControllerProgram.java
@@ -12,6 +12,7 @@
 import burlarch.node.NodeAddresses;
 import burlarch.node.NodeRoles;
 import burlarch.node.NodeSettings;
+import burlarch.node.RouterOnSameMachine;
 import burlarch.node.SettingsFileWatcher;
 import burlarch.node.ShutdownHook;
 import burlarch.storage.FileSystemDisk;
@@ -53,7 +54,8 @@
      * @throws Exception if the disk can't be opened or a port can't be bound
      */
     public static void run(NodeSettings settings) throws Exception {
-        String address = NodeAddresses.own(settings);
+        String name = NodeAddresses.memberName(settings, NodeRoles.CONTROLLER);
+        String address = NodeAddresses.own(settings, NodeRoles.CONTROLLER);
         List<String> seeds = NodeAddresses.seeds(settings);
         RegisterStorage storage = RegisterStorage.open(
                 new FileSystemDisk(settings.dataDir()),
@@ -66,7 +68,7 @@
         SelectorEventLoop loop = new SelectorEventLoop("node");
         ControllerRuntime runtime = new ControllerRuntime(loop);
         NodeMessage.Hello hello = new NodeMessage.Hello(
-                settings.nodeName(),
+                name,
                 NodeRoles.CONTROLLER,
                 address,
                 settings.zone(),
@@ -75,7 +77,7 @@
         NodeTransport transport = new NodeTransport(loop, hello, NodeAddresses.socket(address), runtime.listener());
         MembershipService membership = new MembershipService(
                 loop,
-                new MembershipService.Self(settings.nodeName(), NodeRoles.CONTROLLER, settings.zone(), processId),
+                new MembershipService.Self(name, NodeRoles.CONTROLLER, settings.zone(), processId),
                 NodeAddresses.socket(address),
                 seeds,
                 SwimSettings.defaults());
@@ -101,7 +103,7 @@
                 address,
                 settings.zone(),
                 seeds,
-                ProcessIncarnations.processName(settings.nodeName(), incarnation),
+                ProcessIncarnations.processName(NodeAddresses.memberName(settings, NodeRoles.CONTROLLER), incarnation),
                 settings.heartbeatNanos(),
                 TimeUnit.NANOSECONDS.toMillis(settings.bounds().versionNanos()),
                 settings.bounds().leaseNanos(),
@@ -145,7 +147,9 @@
                     settings.listen().control());
             Runtime.getRuntime().halt(1);
         }
+        RouterOnSameMachine router = new RouterOnSameMachine(settings);
         ShutdownHook.onSignal(() -> {
+            router.awaitEnd();
             server.stopAccepting();
             membership.leaveWithinTimeout();
         });
--- a/controller/src/main/java/burlarch/controller/api/ControlExchange.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlExchange.java
@@ -24,6 +24,9 @@
  */
 final class ControlExchange {
     private static final int OK = 200;
+    /** The caller repeats the call at another address, with the same method and body. */
+    private static final int TEMPORARY_REDIRECT = 307;
+
     private static final String JSON = "application/json";
     private static final byte[] EMPTY_OBJECT = {'{', '}'};
 
@@ -83,6 +86,14 @@
         }
     }
 
+    /** Responds with the address at which the caller is to make the same call. */
+    void redirect(String location) {
+        if (responded.compareAndSet(false, true)) {
+            response.getHeaders().put(HttpHeader.LOCATION, location);
+            write(TEMPORARY_REDIRECT, EMPTY_OBJECT);
+        }
+    }
+
     /** Responds with a failure: a {@link ControlException} by its kind, anything else as {@link ErrorKind#UNCLEAR}. */
     void fail(Throwable failure) {
         if (!responded.compareAndSet(false, true)) {
--- a/controller/src/main/java/burlarch/controller/api/ControlServer.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlServer.java
@@ -3,7 +3,9 @@
 import burlarch.node.http.RequestBodyBudget;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -28,7 +30,7 @@
 
     private final Server server;
     private final ServerConnector connector;
-    private final ControlHandler handler;
+    private final ControlCallHandler handler;
 
     /**
      * A server that is not started yet.
@@ -38,6 +40,24 @@
      *     than the second after which callers give up
      */
     public ControlServer(InetSocketAddress address, ControlService service, long callTimeoutMillis) {
+        this(
+                address,
+                new ControlHandler(
+                        service, new RequestBodyBudget(RequestBodyLimits.MAX_TOTAL_BYTES), callTimeoutMillis));
+    }
+
+    /**
+     * A server that is not started yet and redirects each call.
+     *
+     * @param address to listen on; port 0 for any free port
+     * @param target names the control address, IP:PORT, to which one call is redirected; called on any thread
+     */
+    public static ControlServer redirecting(InetSocketAddress address, Supplier<Optional<String>> target) {
+        return new ControlServer(address, new RedirectHandler(target));
+    }
+
+    private ControlServer(InetSocketAddress address, ControlCallHandler handler) {
+        this.handler = handler;
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setReservedThreads(0);
         threads.setName("control");
@@ -50,8 +70,6 @@
         connector.setAcceptQueueSize(BACKLOG);
         server.addConnector(connector);
         server.addBean(new NetworkConnectionLimit(MAX_CONNECTIONS, connector));
-        handler = new ControlHandler(
-                service, new RequestBodyBudget(RequestBodyLimits.MAX_TOTAL_BYTES), callTimeoutMillis);
         server.setHandler(handler);
     }
 
--- /dev/null
+++ b/controller/src/main/java/burlarch/controller/redirect/ControlRedirectorProgram.java
@@ -0,0 +1,92 @@
+package burlarch.controller.redirect;
+
+import burlarch.controller.api.ControlServer;
+import burlarch.coordination.membership.swim.SwimSettings;
+import burlarch.node.MembershipService;
+import burlarch.node.NodeAddresses;
+import burlarch.node.NodeRoles;
+import burlarch.node.NodeSettings;
+import burlarch.node.RouterOnSameMachine;
+import burlarch.node.SettingsFileWatcher;
+import burlarch.node.ShutdownHook;
+import burlarch.transport.SelectorEventLoop;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.tinylog.Logger;
+
+/**
+ * The program at the control address of a machine without a disk: it answers each call with the address of a
+ * controller. It joins the membership to learn which controllers there are.
+ */
+public final class ControlRedirectorProgram {
+    private final RedirectTargets targets;
+    private final Object lock = new Object();
+
+    private ControlRedirectorProgram(int controlPort) {
+        targets = new RedirectTargets(controlPort);
+    }
+
+    /**
+     * Starts the program, which keeps running on its own threads.
+     *
+     * @throws Exception if a port can't be bound
+     */
+    public static void run(NodeSettings settings) throws Exception {
+        new ControlRedirectorProgram(settings.listen().control().getPort()).start(settings);
+    }
+
+    private void start(NodeSettings settings) throws Exception {
+        onSettings(settings);
+        ControlServer server = ControlServer.redirecting(settings.listen().control(), this::choose);
+        server.start();
+        MembershipService membership = join(settings);
+        SettingsFileWatcher.start(this::onSettings);
+        RouterOnSameMachine router = new RouterOnSameMachine(settings);
+        ShutdownHook.onSignal(() -> {
+            router.awaitEnd();
+            server.stopAccepting();
+            membership.leaveWithinTimeout();
+        });
+        Logger.info(
+                "control redirector listening: node={} control={}",
+                settings.nodeName(),
+                settings.listen().control());
+    }
+
+    private MembershipService join(NodeSettings settings) throws Exception {
+        MembershipService membership = new MembershipService(
+                new SelectorEventLoop("node"),
+                new MembershipService.Self(
+                        NodeAddresses.memberName(settings, NodeRoles.CONTROL_REDIRECTOR),
+                        NodeRoles.CONTROL_REDIRECTOR,
+                        settings.zone(),
+                        newProcessId()),
+                NodeAddresses.socket(NodeAddresses.own(settings, NodeRoles.CONTROL_REDIRECTOR)),
+                NodeAddresses.seeds(settings),
+                SwimSettings.defaults());
+        membership.addListener(changes -> {
+            synchronized (lock) {
+                targets.onChanges(changes);
+            }
+        });
+        membership.start();
+        return membership;
+    }
+
+    /** Never 0, which membership does not allow. */
+    private static long newProcessId() {
+        return ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+    }
+
+    private void onSettings(NodeSettings settings) {
+        synchronized (lock) {
+            targets.onSeeds(settings.seeds());
+        }
+    }
+
+    private Optional<String> choose() {
+        synchronized (lock) {
+            return targets.choose(ThreadLocalRandom.current());
+        }
+    }
+}
--- a/fleet/src/main/java/burlarch/fleet/Commands.java
+++ b/fleet/src/main/java/burlarch/fleet/Commands.java
@@ -1,6 +1,7 @@
 package burlarch.fleet;
 
 import burlarch.controller.ControllerProgram;
+import burlarch.controller.redirect.ControlRedirectorProgram;
 import burlarch.fleet.training.ArchiveTrainingRun;
 import burlarch.node.NodeSettings;
 import burlarch.operator.ConfigCommand;
@@ -26,15 +27,26 @@
     public static final class Router implements Command {
         @Override
         public void run(PrintStream output) throws Exception {
-            RouterProgram.run(NodeSettings.fromEnvironment());
+            NodeSettings settings = NodeSettings.fromEnvironment();
+            settings.requireServed(NodeSettings.SERVES_CLIENTS);
+            RouterProgram.run(settings);
         }
     }
 
-    /** {@code controller} */
+    /**
+     * {@code controller}: a controller where the machine has a disk for its acceptor; elsewhere, a redirector to the
+     * controllers, because a machine without a disk must not vote.
+     */
     public static final class Controller implements Command {
         @Override
         public void run(PrintStream output) throws Exception {
-            ControllerProgram.run(NodeSettings.fromEnvironment());
+            NodeSettings settings = NodeSettings.fromEnvironment();
+            settings.requireServed(NodeSettings.SERVES_CONTROL);
+            if (settings.dataDir() == null) {
+                ControlRedirectorProgram.run(settings);
+            } else {
+                ControllerProgram.run(settings);
+            }
         }
     }
 
--- a/node/src/main/java/burlarch/node/NodeRoles.java
+++ b/node/src/main/java/burlarch/node/NodeRoles.java
@@ -6,6 +6,8 @@
     public static final String ROUTER = "router";
     /** Holds the control state and serves operators. */
     public static final String CONTROLLER = "controller";
+    /** Serves operators by naming a controller to them; holds no state. */
+    public static final String CONTROL_REDIRECTOR = "control-redirector";
 
     private NodeRoles() {}
 }
--- a/node/src/main/java/burlarch/node/NodeSettings.java
+++ b/node/src/main/java/burlarch/node/NodeSettings.java
@@ -42,6 +42,10 @@
         Limits limits,
         FaultTolerance faultTolerance,
         NodeBounds bounds) {
+    /** Value of {@code serves}: clients' requests. */
+    public static final String SERVES_CLIENTS = "edge";
+    /** Value of {@code serves}: calls of operators and instances. */
+    public static final String SERVES_CONTROL = "control_plane";
     /** The environment variable that names the file. */
     public static final String FILE_VARIABLE = "BURLARCH_NODE_FILE";
 
@@ -90,6 +94,18 @@
         return load(Path.of(file));
     }
 
+    /**
+     * Checks that the process is to serve what its program serves.
+     *
+     * @param served {@link #SERVES_CLIENTS} or {@link #SERVES_CONTROL}
+     * @throws SettingsException if the settings are those of another program
+     */
+    public void requireServed(String served) throws SettingsException {
+        if (!serves.contains(served)) {
+            throw new SettingsException("serves must contain \"" + served + "\" for this program, it is " + serves);
+        }
+    }
+
     /** Whether that contract is in force. */
     public boolean hasContract(String name) {
         return contracts.contains(name);
--- a/node/src/main/java/burlarch/node/NodeSettingsReader.java
+++ b/node/src/main/java/burlarch/node/NodeSettingsReader.java
@@ -64,10 +64,19 @@
                 limits(),
                 faultTolerance(),
                 bounds());
+        checkVoterHasDisk(top, settings);
         check.throwIfInvalid();
         return settings;
     }
 
+    /** A controller whose loss is counted holds an acceptor, which needs a disk. */
+    private void checkVoterHasDisk(SettingsSection top, NodeSettings settings) {
+        boolean votes = settings.countsForQuorum() && settings.serves().contains(NodeSettings.SERVES_CONTROL);
+        if (votes && settings.dataDir() == null) {
+            check.add(top.invalid("data_dir", "is missing: a controller with counts_for_quorum needs a disk"));
+        }
+    }
+
     private SettingsSection table(String name) {
         SettingsSection empty = check.value(null, () -> blank.section(name));
         return check.optional(file.top(), name, empty, () -> file.section(name));
@@ -115,9 +124,9 @@
     private Listen listen(List<String> serves) {
         SettingsSection table = table("listen");
         return new Listen(
-                address(table, "front", serves.contains("edge")),
+                address(table, "front", serves.contains(NodeSettings.SERVES_CLIENTS)),
                 address(table, "readiness", false),
-                address(table, "control", serves.contains("control_plane")));
+                address(table, "control", serves.contains(NodeSettings.SERVES_CONTROL)));
     }
 
     private InetSocketAddress address(SettingsSection table, String key, boolean needed) {
--- a/node/src/test/java/burlarch/node/NodeSettingsTest.java
+++ b/node/src/test/java/burlarch/node/NodeSettingsTest.java
@@ -254,6 +254,35 @@
                 .anyMatch(line -> line.contains("zones must be a table"));
     }
 
+    @Test
+    void aCountedControllerNeedsADisk() throws Exception {
+        String controller = LEAST + "serves = [\"control_plane\"]\ncounts_for_quorum = %s\n%s"
+                + "[listen]\ncontrol = \"10.9.0.1:9100\"\n";
+        assertThat(mistakes(controller.formatted(true, "")))
+                .hasSize(1)
+                .allMatch(line -> line.contains("data_dir is missing"));
+        assertThat(load(controller.formatted(true, "data_dir = \"/var/lib/n1\"\n"))
+                        .countsForQuorum())
+                .isTrue();
+        assertThat(load(controller.formatted(false, "")).dataDir()).isNull();
+    }
+
+    @Test
+    void aCountedMachineThatServesClientsOnlyNeedsNoDisk() throws Exception {
+        NodeSettings settings =
+                load(LEAST + "serves = [\"edge\"]\ncounts_for_quorum = true\n[listen]\nfront = \"10.9.0.1:9101\"\n");
+        assertThat(settings.countsForQuorum()).isTrue();
+    }
+
+    @Test
+    void settingsOfAnotherProgramAreRejected() throws Exception {
+        NodeSettings router = load(LEAST + "serves = [\"edge\"]\n[listen]\nfront = \"10.9.0.1:9101\"\n");
+        router.requireServed(NodeSettings.SERVES_CLIENTS);
+        assertThatThrownBy(() -> router.requireServed(NodeSettings.SERVES_CONTROL))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("control_plane");
+    }
+
     @Test
     void aFileThatIsNotTomlIsReported() {
         assertThat(mistakes("node_name = ")).hasSize(1);
--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -43,6 +43,7 @@
         Object plannerLock = new Object();
         RouterServer server = startServer(settings, planner, plannerLock);
         SelectorEventLoop loop = new SelectorEventLoop("node");
+        String name = NodeAddresses.memberName(settings, NodeRoles.ROUTER);
         PrefixIndexUpdater index = new PrefixIndexUpdater(planner, plannerLock);
         PrefixCacheEventPublisher publisher = new PrefixCacheEventPublisher(loop, index);
         KvEventSubscriber subscriber = new KvEventSubscriber(
@@ -51,7 +52,7 @@
                 server.delays(),
                 System::nanoTime,
                 () -> ThreadLocalRandom.current().nextDouble());
-        SourceSubscriptions sources = new SourceSubscriptions(settings.nodeName(), subscriber, index);
+        SourceSubscriptions sources = new SourceSubscriptions(name, subscriber, index);
         RouterCountMonitor routerCount = new RouterCountMonitor(
                 loop,
                 new RouterCountTracker(
@@ -63,8 +64,7 @@
         ControllerLinks links = new ControllerLinks(
                 new ControllerUpdateApplier(planner, plannerLock, server, sources, routerCount, publisher));
         MembershipService membership = join(settings, loop, links, routerCount, sources);
-        loop.execute(() -> publisher.start(
-                sources::isShared, () -> links.publishingController(settings.nodeName(), settings.zone())));
+        loop.execute(() -> publisher.start(sources::isShared, () -> links.publishingController(name, settings.zone())));
         SettingsFileWatcher.start(newer -> loop.execute(() -> links.addControllers(NodeAddresses.seeds(newer))));
         ShutdownHook.onSignal(() -> {
             server.drain().join();
@@ -97,19 +97,19 @@
             RouterCountMonitor routerCount,
             SourceSubscriptions sources)
             throws IOException {
-        String address = NodeAddresses.own(settings);
+        String name = NodeAddresses.memberName(settings, NodeRoles.ROUTER);
+        String address = NodeAddresses.own(settings, NodeRoles.ROUTER);
         List<String> seeds = NodeAddresses.seeds(settings);
         UUID incarnation = UUID.randomUUID();
         NodeTransport transport = new NodeTransport(
                 loop,
-                new NodeMessage.Hello(
-                        settings.nodeName(), NodeRoles.ROUTER, address, settings.zone(), "", incarnation.toString()),
+                new NodeMessage.Hello(name, NodeRoles.ROUTER, address, settings.zone(), "", incarnation.toString()),
                 NodeAddresses.socket(address),
                 links);
         MembershipService membership = new MembershipService(
                 loop,
                 new MembershipService.Self(
-                        settings.nodeName(), NodeRoles.ROUTER, settings.zone(), incarnation.getLeastSignificantBits()),
+                        name, NodeRoles.ROUTER, settings.zone(), incarnation.getLeastSignificantBits()),
                 NodeAddresses.socket(address),
                 seeds,
                 SwimSettings.defaults());
