--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -39,7 +39,7 @@
 
     /** Starts the router; it runs on threads of its own until a signal ends it. */
     public static void run(NodeSettings settings) throws Exception {
-        Planner planner = new FleetPlanner(plannerSettings(settings));
+        Planner planner = new FleetPlanner(plannerSettings(settings), AttemptLog.ifEnabled());
         Object plannerLock = new Object();
         RouterServer server = startServer(settings, planner, plannerLock);
         SelectorEventLoop loop = new SelectorEventLoop("node");
--- a/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
@@ -3,6 +3,7 @@
 import burlarch.configuration.Configuration;
 import burlarch.configuration.TrafficSplitter;
 import burlarch.coordination.registry.Instance;
+import burlarch.routing.AttemptObserver;
 import burlarch.routing.AttemptOutcome;
 import burlarch.routing.KvEvents;
 import burlarch.routing.Placement;
@@ -39,6 +40,11 @@
 
     /** A planner that knows no services and no instances yet. */
     public FleetPlanner(PlannerSettings settings) {
+        this(settings, AttemptObserver.NONE);
+    }
+
+    /** As {@link #FleetPlanner(PlannerSettings)}; the observer is notified of each attempt that has ended. */
+    public FleetPlanner(PlannerSettings settings, AttemptObserver observer) {
         PrefixCacheIndex index = new PrefixCacheIndex();
         this.settings = settings;
         this.versionGraceNanos = (long) (settings.versionMillis() * 1e6 * VERSION_GRACE_FRACTION);
@@ -46,7 +52,7 @@
         this.fleet = new FleetState(settings, index, transfers);
         this.promptScheduler = new PromptScheduler(settings, index, transfers);
         this.plainScheduler = new PlainScheduler(settings);
-        this.attempts = new InFlightAttempts(index, transfers, history);
+        this.attempts = new InFlightAttempts(settings, index, transfers, history, observer);
     }
 
     @Override
--- a/routing/src/main/java/burlarch/routing/planner/InFlightAttempt.java
+++ b/routing/src/main/java/burlarch/routing/planner/InFlightAttempt.java
@@ -1,5 +1,8 @@
 package burlarch.routing.planner;
 
+import burlarch.routing.AttemptObserver.ObservedAttempt;
+import burlarch.routing.AttemptOutcome;
+import burlarch.routing.Placement;
 import burlarch.routing.RouteRequest;
 import burlarch.routing.instance.Engine;
 
@@ -30,6 +33,8 @@
     /** Weights version that the engine was known to have when the attempt was planned. */
     private final long versionAtPlanning;
 
+    private final boolean plannedAsFetch;
+    private final int cachedTokens;
     private final int tokensToPrefill;
     private final int tokensToTransfer;
     private final long transferNanos;
@@ -41,6 +46,8 @@
     private long sentNanos;
     private boolean trial;
     private boolean engineWasIdle;
+    private int ownRequestsWhenSent;
+    private double waitNanosWhenSent;
     private long overdueNanos;
     private long firstEventNanos;
     private int ownRequestsAtFirstEvent;
@@ -51,6 +58,7 @@
             ServiceState service,
             RouteRequest request,
             boolean fetch,
+            int cachedTokens,
             int tokensToPrefill,
             int tokensToTransfer,
             long transferNanos,
@@ -59,6 +67,8 @@
         this.service = service;
         this.versionAtPlanning = engine.version(request.model());
         this.fetch = fetch;
+        this.plannedAsFetch = fetch;
+        this.cachedTokens = cachedTokens;
         this.tokensToPrefill = tokensToPrefill;
         this.tokensToTransfer = tokensToTransfer;
         this.transferNanos = transferNanos;
@@ -67,7 +77,7 @@
 
     /** An attempt of a request without a cached prompt. */
     static InFlightAttempt plain(Engine engine, ServiceState service, RouteRequest request) {
-        return new InFlightAttempt(engine, service, request, false, 0, 0, 0, 0);
+        return new InFlightAttempt(engine, service, request, false, 0, 0, 0, 0, 0);
     }
 
     /**
@@ -88,6 +98,7 @@
                 service,
                 request,
                 offeredAsFetch,
+                choice.cachedTokens(),
                 Math.max(0, request.totalPromptTokens() - choice.cachedTokens() - transferred),
                 transferred,
                 source == null ? 0 : source.nanos(),
@@ -99,6 +110,8 @@
         state = State.SENT;
         sentNanos = nowNanos;
         trial = engine.health().onSent();
+        ownRequestsWhenSent = engine.load().ownRequests();
+        waitNanosWhenSent = engine.load().waitNanos(nowNanos);
         engineWasIdle = engine.load().backlogTokens(engine.speed(), nowNanos) < 1;
         engine.load().onSent(tokensToPrefill, memoryTokens, engine.speed(), nowNanos);
         service.onSent(this);
@@ -127,6 +140,26 @@
         return hadFirstEvent;
     }
 
+    /** What an observer is told of it after its end. */
+    ObservedAttempt observed(
+            RouteRequest request, Placement.Send send, boolean sameZone, AttemptOutcome outcome, long nowNanos) {
+        return new ObservedAttempt(
+                request,
+                engine.id(),
+                sameZone,
+                plannedAsFetch,
+                cachedTokens,
+                tokensToTransfer,
+                tokensToPrefill,
+                ownRequestsWhenSent,
+                waitNanosWhenSent,
+                send.predictedFirstNanos(),
+                sentNanos,
+                firstEventNanos == 0 ? -1 : firstEventNanos - sentNanos,
+                nowNanos - sentNanos,
+                outcome);
+    }
+
     /** Its first event is still missing at the time when it was overdue; the next time is half as long again. */
     void postponeOverdue(long nowNanos) {
         overdueNanos = nowNanos + (nowNanos - sentNanos) / 2;
--- a/routing/src/main/java/burlarch/routing/planner/InFlightAttempts.java
+++ b/routing/src/main/java/burlarch/routing/planner/InFlightAttempts.java
@@ -1,7 +1,9 @@
 package burlarch.routing.planner;
 
+import burlarch.routing.AttemptObserver;
 import burlarch.routing.AttemptOutcome;
 import burlarch.routing.Placement;
+import burlarch.routing.PlannerSettings;
 import burlarch.routing.RouteRequest;
 import burlarch.routing.ServerLoad;
 import burlarch.routing.index.PrefixCacheIndex;
@@ -24,12 +26,21 @@
     private final PrefixCacheIndex index;
     private final KvTransferPlanner transfers;
     private final AttemptHistory history;
+    private final PlannerSettings settings;
+    private final AttemptObserver observer;
     private final Map<Placement.Send, InFlightAttempt> prepared = new IdentityHashMap<>();
     private final Map<Placement.Send, InFlightAttempt> inFlight = new IdentityHashMap<>();
     /** Attempts without a first event, roughly in the order in which they become overdue. Ended ones leave late. */
     private final ArrayDeque<InFlightAttempt> awaitingFirstEvent = new ArrayDeque<>();
 
-    InFlightAttempts(PrefixCacheIndex index, KvTransferPlanner transfers, AttemptHistory history) {
+    InFlightAttempts(
+            PlannerSettings settings,
+            PrefixCacheIndex index,
+            KvTransferPlanner transfers,
+            AttemptHistory history,
+            AttemptObserver observer) {
+        this.settings = settings;
+        this.observer = observer;
         this.index = index;
         this.transfers = transfers;
         this.history = history;
@@ -161,6 +172,8 @@
                         attempt.sentNanos(),
                         nowNanos);
         history.onEnded(request.id(), corrected ? null : engine.id(), outcome);
+        boolean sameZone = settings.distance(settings.zone(), engine.instance().zone()) <= 1;
+        observer.onEnded(attempt.observed(request, send, sameZone, outcome, nowNanos));
     }
 
     /** The load is that of the response's head, so own requests are counted as of the first event. */
