--- a/routing/src/main/java/burlarch/routing/AttemptObserver.java
+++ b/routing/src/main/java/burlarch/routing/AttemptObserver.java
@@ -1,6 +1,6 @@
 package burlarch.routing;
 
-/** Is notified of each attempt that has ended, under the planner's lock; must not block and must not call the planner. */
+/** Is notified of each ended attempt, under the planner's lock; must not block and must not call the planner. */
 @FunctionalInterface
 public interface AttemptObserver {
     /** Observes nothing. */
