--- a/controller/src/main/java/burlarch/controller/ControllerProgram.java
+++ b/controller/src/main/java/burlarch/controller/ControllerProgram.java
@@ -12,6 +12,7 @@
 import burlarch.node.NodeAddresses;
 import burlarch.node.NodeRoles;
 import burlarch.node.NodeSettings;
+import burlarch.node.RandomIds;
 import burlarch.node.RouterOnSameMachine;
 import burlarch.node.SettingsFileWatcher;
 import burlarch.node.ShutdownHook;
@@ -19,7 +20,6 @@
 import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeTransport;
 import burlarch.transport.SelectorEventLoop;
-import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -160,8 +160,6 @@
     }
 
     private static String randomHex() {
-        byte[] bytes = new byte[IDENTITY_BYTES];
-        new SecureRandom().nextBytes(bytes);
-        return HexFormat.of().formatHex(bytes);
+        return HexFormat.of().formatHex(RandomIds.bytes(IDENTITY_BYTES));
     }
 }
--- a/controller/src/main/java/burlarch/controller/distribution/PrefixCacheEventForwarder.java
+++ b/controller/src/main/java/burlarch/controller/distribution/PrefixCacheEventForwarder.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Forwards prefix-cache events that one router has read from an engine to all other routers, without decoding them.
@@ -20,12 +21,14 @@
  *
  * <p>A frame crosses to each other zone once: to a controller there, which forwards it to the routers of its own zone.
  * Routers of a zone without such a controller are sent it from here. Frames that arrive within a short time are sent
- * together, so that each router wakes once for many. Losses are allowed: the receiver finds them by the sequence
- * numbers of the source.
+ * together, so that each router wakes once for many; what crosses to another zone waits there once more, so it
+ * waits here only briefly. Losses are allowed: the receiver finds them by the sequence numbers of the source.
  */
 public final class PrefixCacheEventForwarder {
-    /** How long the oldest frame of a batch waits. */
-    static final long BATCH_DELAY_NANOS = 50_000_000;
+    /** How long the oldest frame of a batch for routers waits. */
+    static final long BATCH_DELAY_NANOS = 100_000_000;
+    /** How long the oldest frame of a batch for the controllers of other zones waits. */
+    static final long RELAY_DELAY_NANOS = 20_000_000;
     /**
      * A controller is a relay for its zone once it has been connected for so long: routers retry connections at least
      * once a second, so those of its zone are connected to it by then.
@@ -42,7 +45,8 @@
     /** Outbound connections to the controllers of other zones, with the time of their start in nanoseconds. */
     private final Map<PeerConnection, Long> relayCandidates = new LinkedHashMap<>();
 
-    private List<PendingFrame> pending = new ArrayList<>();
+    private final Batch forOwnZone = new Batch(BATCH_DELAY_NANOS, this::sendToOwnZone);
+    private final Batch forOtherZones = new Batch(RELAY_DELAY_NANOS, this::sendToOtherZones);
 
     private record PendingFrame(PeerConnection from, byte[] frame) {
         /** Whether its sender, a controller, has forwarded it to the other zones already. */
@@ -80,33 +84,59 @@
 
     /** Events of a router, or of a controller that forwards them for its zone. */
     public void onPrefixCacheEvents(PeerConnection from, PrefixCacheEvents events) {
-        pending.add(new PendingFrame(from, codec.encode(events)));
-        if (pending.size() >= MAX_PENDING_FRAMES) {
-            forward();
-        } else if (pending.size() == 1) {
-            loop.schedule(BATCH_DELAY_NANOS, this::forward);
+        PendingFrame frame = new PendingFrame(from, codec.encode(events));
+        forOwnZone.add(frame);
+        if (!frame.isRelayed()) {
+            forOtherZones.add(frame);
         }
     }
 
-    private void forward() {
-        List<PendingFrame> batch = pending;
-        pending = new ArrayList<>();
-        if (batch.isEmpty()) {
-            return;
-        }
-        List<PendingFrame> notRelayed = new ArrayList<>(batch);
-        notRelayed.removeIf(PendingFrame::isRelayed);
+    private void sendToOwnZone(List<PendingFrame> frames) {
+        routersByZone.getOrDefault(ownZone, Set.of()).forEach(router -> send(frames, router));
+    }
+
+    private void sendToOtherZones(List<PendingFrame> frames) {
         routersByZone.forEach((zone, routers) -> {
-            PeerConnection relay = zone.equals(ownZone) ? null : relayFor(zone);
-            if (relay != null) {
-                send(notRelayed, relay);
-            } else {
-                List<PendingFrame> due = zone.equals(ownZone) ? batch : notRelayed;
-                routers.forEach(router -> send(due, router));
+            if (!zone.equals(ownZone)) {
+                PeerConnection relay = relayFor(zone);
+                if (relay != null) {
+                    send(frames, relay);
+                } else {
+                    routers.forEach(router -> send(frames, router));
+                }
             }
         });
     }
 
+    /** Frames that wait to be sent together. A full batch is sent at once. */
+    private final class Batch {
+        private final long delayNanos;
+        private final Consumer<List<PendingFrame>> sender;
+        private List<PendingFrame> pending = new ArrayList<>();
+
+        Batch(long delayNanos, Consumer<List<PendingFrame>> sender) {
+            this.delayNanos = delayNanos;
+            this.sender = sender;
+        }
+
+        void add(PendingFrame frame) {
+            pending.add(frame);
+            if (pending.size() >= MAX_PENDING_FRAMES) {
+                flush();
+            } else if (pending.size() == 1) {
+                loop.schedule(delayNanos, this::flush);
+            }
+        }
+
+        private void flush() {
+            List<PendingFrame> due = pending;
+            pending = new ArrayList<>();
+            if (!due.isEmpty()) {
+                sender.accept(due);
+            }
+        }
+    }
+
     private static void send(List<PendingFrame> frames, PeerConnection to) {
         for (int i = 0; i < frames.size(); i++) {
             PendingFrame one = frames.get(i);
--- a/controller/src/main/java/burlarch/controller/peers/ProcessIncarnations.java
+++ b/controller/src/main/java/burlarch/controller/peers/ProcessIncarnations.java
@@ -1,6 +1,6 @@
 package burlarch.controller.peers;
 
-import java.security.SecureRandom;
+import burlarch.node.RandomIds;
 
 /** Numbers that distinguish the starts of one process, and process names that contain them. Pure functions. */
 public final class ProcessIncarnations {
@@ -10,8 +10,7 @@
 
     /** A new random incarnation; never 0. */
     public static long generate() {
-        long drawn = new SecureRandom().nextLong();
-        return drawn == 0 ? 1 : drawn;
+        return RandomIds.nonZero();
     }
 
     /** The incarnation as it stands in messages and names: hexadecimal. */
--- a/controller/src/main/java/burlarch/controller/redirect/ControlRedirectorProgram.java
+++ b/controller/src/main/java/burlarch/controller/redirect/ControlRedirectorProgram.java
@@ -6,6 +6,7 @@
 import burlarch.node.NodeAddresses;
 import burlarch.node.NodeRoles;
 import burlarch.node.NodeSettings;
+import burlarch.node.RandomIds;
 import burlarch.node.RouterOnSameMachine;
 import burlarch.node.SettingsFileWatcher;
 import burlarch.node.ShutdownHook;
@@ -60,7 +61,7 @@
                         NodeAddresses.memberName(settings, NodeRoles.CONTROL_REDIRECTOR),
                         NodeRoles.CONTROL_REDIRECTOR,
                         settings.zone(),
-                        newProcessId()),
+                        RandomIds.nonZero()),
                 NodeAddresses.socket(NodeAddresses.own(settings, NodeRoles.CONTROL_REDIRECTOR)),
                 NodeAddresses.seeds(settings),
                 SwimSettings.defaults());
@@ -73,11 +74,6 @@
         return membership;
     }
 
-    /** Never 0, which membership does not allow. */
-    private static long newProcessId() {
-        return ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
-    }
-
     private void onSettings(NodeSettings settings) {
         synchronized (lock) {
             targets.onSeeds(settings.seeds());
--- a/fleet/src/main/java/burlarch/fleet/Main.java
+++ b/fleet/src/main/java/burlarch/fleet/Main.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.NoSuchFileException;
 import java.util.Arrays;
+import java.util.Optional;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -81,10 +82,13 @@
             output.println(USAGE);
             return DONE;
         }
-        Main main = new Main();
         try {
-            new CmdLineParser(main, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH)).parseArgument(arguments);
-            main.run(output);
+            Optional<Commands.Command> service = serviceWithoutArguments(arguments);
+            if (service.isPresent()) {
+                service.get().run(output);
+            } else {
+                parse(arguments).run(output);
+            }
             return DONE;
         } catch (CmdLineException e) {
             errors.println("burlarch: " + e.getMessage());
@@ -109,6 +113,27 @@
         }
     }
 
+    /**
+     * The router or the controller, if the command line names nothing else. They start without the parser: what it
+     * loads and generates to read its annotations takes a tenth of a start, and a fleet starts hundreds of them.
+     */
+    private static Optional<Commands.Command> serviceWithoutArguments(String[] arguments) {
+        if (arguments.length != 1) {
+            return Optional.empty();
+        }
+        return switch (arguments[0]) {
+            case "router" -> Optional.of(new Commands.Router());
+            case "controller" -> Optional.of(new Commands.Controller());
+            default -> Optional.empty();
+        };
+    }
+
+    private static Main parse(String[] arguments) throws CmdLineException {
+        Main main = new Main();
+        new CmdLineParser(main, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH)).parseArgument(arguments);
+        return main;
+    }
+
     private void run(PrintStream output) throws Exception {
         if (version) {
             output.println("burlarch " + version());
--- a/router/src/main/java/burlarch/router/prefixcache/OutgoingBatch.java
+++ b/router/src/main/java/burlarch/router/prefixcache/OutgoingBatch.java
@@ -9,8 +9,8 @@
  * {@link #DELAY_NANOS} or when it is full. Not thread-safe.
  */
 public final class OutgoingBatch {
-    /** How long the oldest update waits. */
-    public static final long DELAY_NANOS = 50_000_000;
+    /** How long the oldest update waits: briefly, because a router that shares its sources reads few of them. */
+    public static final long DELAY_NANOS = 20_000_000;
 
     /** A batch with that many updates, or that many events in them, is full. */
     private static final int FULL_COUNT = 64;
--- a/router/src/main/java/burlarch/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamClient.java
@@ -9,6 +9,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -24,11 +25,12 @@
     private final Scheduler scheduler;
     private final InputBufferPool buffers = new InputBufferPool();
     private final Selector selector;
+    private final AtomicBoolean sweepScheduled = new AtomicBoolean();
     private volatile boolean stopped;
 
     /** A client that has not been started. */
     public UpstreamClient(Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
-        this.pool = new UpstreamConnectionPool(executor);
+        this.pool = new UpstreamConnectionPool(executor, this::scheduleSweep);
         this.scheduler = scheduler;
         this.selector = new Selector(executor, scheduler);
         selector.setConnectTimeout(connectTimeoutMillis);
@@ -37,7 +39,6 @@
     /** Starts the selector. */
     public void start() throws Exception {
         selector.start();
-        scheduleSweep();
     }
 
     /** Closes all idle connections and stops the selector. */
@@ -47,13 +48,16 @@
         selector.stop();
     }
 
+    /** Called when a connection becomes idle: sees to it that idle connections are closed once they have expired. */
     private void scheduleSweep() {
-        scheduler.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        if (!stopped && sweepScheduled.compareAndSet(false, true)) {
+            scheduler.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void sweep() {
-        pool.closeExpired(System.nanoTime());
-        if (!stopped) {
+        sweepScheduled.set(false);
+        if (pool.closeExpired(System.nanoTime())) {
             scheduleSweep();
         }
     }
--- a/router/src/main/java/burlarch/router/upstream/UpstreamConnectionPool.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamConnectionPool.java
@@ -25,11 +25,14 @@
     }
 
     private final Executor executor;
+    private final Runnable onIdle;
     private final Map<String, ArrayDeque<IdleConnection>> idleByAddress = new HashMap<>();
     private boolean closed;
 
-    UpstreamConnectionPool(Executor executor) {
+    /** @param onIdle called after a connection has become idle, on its thread */
+    UpstreamConnectionPool(Executor executor, Runnable onIdle) {
         this.executor = executor;
+        this.onIdle = onIdle;
     }
 
     Executor executor() {
@@ -59,15 +62,21 @@
     /** Keeps a connection that has become idle, or closes it if there are too many. */
     void onIdle(UpstreamConnection connection) {
         long expiresNanos = System.nanoTime() + connection.keepAlive().idleMillis() * NANOS_PER_MILLI;
-        synchronized (this) {
-            ArrayDeque<IdleConnection> stack =
-                    idleByAddress.computeIfAbsent(connection.address(), a -> new ArrayDeque<>());
-            if (!closed && stack.size() < MAX_IDLE_PER_ADDRESS) {
-                stack.push(new IdleConnection(connection, expiresNanos));
-                return;
-            }
+        if (keep(new IdleConnection(connection, expiresNanos))) {
+            onIdle.run();
+        } else {
+            connection.closeIfIdle();
         }
-        connection.closeIfIdle();
+    }
+
+    private synchronized boolean keep(IdleConnection idle) {
+        ArrayDeque<IdleConnection> stack =
+                idleByAddress.computeIfAbsent(idle.connection().address(), a -> new ArrayDeque<>());
+        if (closed || stack.size() >= MAX_IDLE_PER_ADDRESS) {
+            return false;
+        }
+        stack.push(idle);
+        return true;
     }
 
     /** Removes a connection that has closed. */
@@ -78,9 +87,14 @@
         }
     }
 
-    /** Closes the connections that have been idle for too long. */
-    void closeExpired(long nowNanos) {
+    /** Closes the connections that have been idle for too long; returns whether any idle one is left. */
+    boolean closeExpired(long nowNanos) {
         removeExpired(nowNanos).forEach(UpstreamConnection::closeIfIdle);
+        return hasIdle();
+    }
+
+    private synchronized boolean hasIdle() {
+        return !idleByAddress.isEmpty();
     }
 
     private synchronized List<UpstreamConnection> removeExpired(long nowNanos) {
--- a/transport/src/main/java/burlarch/transport/ConnectionLiveness.java
+++ b/transport/src/main/java/burlarch/transport/ConnectionLiveness.java
@@ -7,12 +7,15 @@
  */
 final class ConnectionLiveness {
     private final TransportSettings settings;
+    private final long pingIntervalNanos;
     private final long openedAtNanos;
     private long lastSentNanos;
     private long lastReceivedNanos;
 
-    ConnectionLiveness(TransportSettings settings, long nowNanos) {
+    /** @param pingIntervalNanos how long the connection sends nothing before it sends a Ping */
+    ConnectionLiveness(TransportSettings settings, long pingIntervalNanos, long nowNanos) {
         this.settings = settings;
+        this.pingIntervalNanos = pingIntervalNanos;
         openedAtNanos = nowNanos;
         lastSentNanos = nowNanos;
         lastReceivedNanos = nowNanos;
@@ -26,9 +29,14 @@
         lastReceivedNanos = nowNanos;
     }
 
+    /** Returns whether the peer has been sent so little lately that it should get a response to its ping. */
+    boolean isQuiet(long nowNanos) {
+        return nowNanos - lastSentNanos >= settings.pingIntervalNanos() / 2;
+    }
+
     /** Returns when a ping is due. */
     long pingDueNanos() {
-        return lastSentNanos + settings.pingIntervalNanos();
+        return lastSentNanos + pingIntervalNanos;
     }
 
     /**
--- a/transport/src/main/java/burlarch/transport/TcpPeerConnection.java
+++ b/transport/src/main/java/burlarch/transport/TcpPeerConnection.java
@@ -79,7 +79,16 @@
         remoteAddress = (InetSocketAddress) channel.getRemoteAddress();
         reader = new FrameReader(shared.codec());
         outboundFrames = new OutboundFrameQueue(shared.settings().maxQueuedBytes());
-        liveness = new ConnectionLiveness(shared.settings(), loop.nanoTime());
+        liveness = new ConnectionLiveness(shared.settings(), pingIntervalNanos(), loop.nanoTime());
+    }
+
+    /**
+     * The side that opened the connection pings, and the other side responds; a node with many outbound connections
+     * then wakes once for the responses to all of its pings. The other side pings by itself only if nothing comes.
+     */
+    private long pingIntervalNanos() {
+        long interval = shared.settings().pingIntervalNanos();
+        return direction == Direction.OUTBOUND ? interval : 2 * interval;
     }
 
     /** Starts reading and sends the own Hello. */
@@ -229,11 +238,19 @@
             return;
         }
         orderValidator.accept(message);
-        if (!(message instanceof NodeMessage.Ping)) {
+        if (message instanceof NodeMessage.Ping) {
+            respondToPing();
+        } else {
             owner.received(this, message);
         }
     }
 
+    private void respondToPing() {
+        if (direction == Direction.INBOUND && liveness.isQuiet(loop.nanoTime())) {
+            enqueue(shared.pingFrame());
+        }
+    }
+
     private void completeHandshake(NodeMessage message) throws FrameException {
         if (!(message instanceof NodeMessage.Hello hello)) {
             throw new FrameException("a message before Hello");
--- a/transport/src/main/java/burlarch/transport/TransportSettings.java
+++ b/transport/src/main/java/burlarch/transport/TransportSettings.java
@@ -3,7 +3,8 @@
 /**
  * Times and bounds of connections between nodes.
  *
- * @param pingIntervalNanos how long a connection sends nothing before it sends a Ping
+ * @param pingIntervalNanos how long the side that opened a connection sends nothing before it sends a Ping; the other
+ *     side responds, and waits twice as long before it sends one of its own
  * @param idleTimeoutNanos how long a connection receives nothing before it is closed: a lost peer or a network
  *     partition closes none by itself
  * @param connectTimeoutNanos how long an attempt to connect may take
