--- a/routing/src/main/java/burlarch/routing/index/PrefixCacheIndex.java
+++ b/routing/src/main/java/burlarch/routing/index/PrefixCacheIndex.java
@@ -72,6 +72,7 @@
     }
 
     private final Map<String, Source> sources = new HashMap<>();
+    private final ConfirmedKeys confirmedKeys = new ConfirmedKeys();
 
     /**
      * Adds a source; one that was added before keeps its entries and its capacity.
@@ -120,15 +121,24 @@
     private long apply(Source source, List<KvEvent> events, long nowNanos) {
         int nowTicks = ticks(nowNanos);
         long prefilled = 0;
+        String salt = null;
+        long saltHash = 0;
+        short group = 0;
         for (int i = 0; i < events.size(); i++) {
             KvEvent event = events.get(i);
-            String salt = event.salt() == null ? "" : event.salt();
-            long key = CacheSalt.key(CacheSalt.hash(salt), event.segment());
+            String eventSalt = event.salt() == null ? "" : event.salt();
+            if (!eventSalt.equals(salt)) {
+                salt = eventSalt;
+                saltHash = CacheSalt.hash(salt);
+                group = CacheSalt.group(salt);
+            }
+            long key = CacheSalt.key(saltHash, event.segment());
             if (event.tokens() > 0) {
                 int before = source.segments.isExpected(key) ? 0 : source.segments.tokens(key);
                 int added = Math.max(0, event.tokens() - before);
                 prefilled += added == 0 || isCachedElsewhere(source, key) ? 0 : added;
-                source.segments.put(key, event.tokens(), CacheSalt.group(salt), nowTicks, false);
+                source.segments.put(key, event.tokens(), group, nowTicks, false);
+                confirmedKeys.add(key);
             } else if (!event.added()) {
                 source.segments.remove(key);
             }
@@ -137,6 +147,9 @@
     }
 
     private boolean isCachedElsewhere(Source except, long key) {
+        if (!confirmedKeys.mayContain(key)) {
+            return false;
+        }
         for (Source source : sources.values()) {
             if (source != except && source.segments.tokens(key) > 0 && !source.segments.isExpected(key)) {
                 return true;
@@ -167,7 +180,9 @@
         Source known = sources.get(source);
         long saltHash = CacheSalt.hash(salt);
         for (int i = 0; known != null && i < segments.size(); i++) {
-            known.segments.recordUse(CacheSalt.key(saltHash, segments.get(i).id()), ticks(nowNanos), true);
+            long key = CacheSalt.key(saltHash, segments.get(i).id());
+            known.segments.recordUse(key, ticks(nowNanos), true);
+            confirmedKeys.add(key);
         }
     }
 
--- a/routing/src/test/java/burlarch/routing/index/PrefixCacheIndexTest.java
+++ b/routing/src/test/java/burlarch/routing/index/PrefixCacheIndexTest.java
@@ -62,6 +62,44 @@
         assertThat(cached(0)).isEqualTo(1_430);
     }
 
+    private long prefilled(String source, KvEvent... events) {
+        return index.onEvents(new KvEvents(source, 1, false, List.of(events)), 0);
+    }
+
+    @Test
+    void tokensCountAsPrefilledOnceAndNotAgainWhereTheyWereFetched() {
+        index.addSource("other", 80_000);
+        assertThat(prefilled("e", cachedEvent(1, 500))).isEqualTo(500);
+        assertThat(prefilled("e", cachedEvent(1, 800))).isEqualTo(300);
+        assertThat(prefilled("e", cachedEvent(1, 800))).isZero();
+        assertThat(prefilled("other", cachedEvent(1, 800), cachedEvent(2, 400))).isEqualTo(400);
+    }
+
+    @Test
+    void tokensThatEverySourceHasEvictedCountAsPrefilledAgain() {
+        index.addSource("other", 80_000);
+        prefilled("e", cachedEvent(1, 800));
+        prefilled("e", evicted(1, 0));
+        assertThat(prefilled("other", cachedEvent(1, 800))).isEqualTo(800);
+    }
+
+    @Test
+    void tokensThatARequestHasConfirmedElsewhereDoNotCountAsPrefilled() {
+        index.addSource("other", 80_000);
+        index.expectCached("e", SALT, SEGMENTS, 0);
+        index.confirm("e", SALT, SEGMENTS, 0);
+        assertThat(prefilled("other", cachedEvent(1, 800))).isZero();
+    }
+
+    @Test
+    void eventsOfSeveralSaltsInOneBatchAreToldApart() {
+        KvEvent otherSalt = new KvEvent(true, "m|2", 2, 400, "m");
+        events(1, false, cachedEvent(1, 800), otherSalt, cachedEvent(3, 250));
+        assertThat(cached(0)).isEqualTo(800);
+        assertThat(index.cachedPrefixTokens("e", "m|2", SEGMENTS.subList(1, 2), 0))
+                .isEqualTo(400);
+    }
+
     @Test
     void anotherSaltFindsNothing() {
         events(1, false, cachedEvent(1, 800));
