--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -2,6 +2,7 @@
 
 import burlarch.configuration.IndexedRouteTable;
 import burlarch.coordination.budget.BudgetSettings;
+import burlarch.coordination.membership.MemberInfo;
 import burlarch.coordination.membership.swim.SwimSettings;
 import burlarch.engine.EngineClient;
 import burlarch.engine.KvEventSubscriber;
@@ -10,25 +11,29 @@
 import burlarch.node.NodeBounds;
 import burlarch.node.NodeRoles;
 import burlarch.node.NodeSettings;
+import burlarch.node.RandomIds;
 import burlarch.node.SettingsFileWatcher;
 import burlarch.node.ShutdownHook;
 import burlarch.router.control.ControllerLinks;
 import burlarch.router.control.RouterCountMonitor;
 import burlarch.router.control.RouterCountTracker;
+import burlarch.router.control.RouterPositionTracker;
 import burlarch.router.prefixcache.PrefixCacheEventPublisher;
 import burlarch.router.prefixcache.PrefixIndexUpdater;
 import burlarch.router.prefixcache.SourceSubscriptions;
 import burlarch.routing.Planner;
 import burlarch.routing.PlannerSettings;
+import burlarch.routing.RouterPosition;
 import burlarch.routing.planner.FleetPlanner;
 import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeTransport;
 import burlarch.transport.SelectorEventLoop;
 import java.io.IOException;
+import java.util.Collection;
 import java.util.List;
-import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /** The router program: assembles its parts and starts them. */
@@ -41,8 +46,8 @@
     public static void run(NodeSettings settings) throws Exception {
         Planner planner = new FleetPlanner(plannerSettings(settings), AttemptLog.ifEnabled());
         Object plannerLock = new Object();
-        RouterServer server = startServer(settings, planner, plannerLock);
         SelectorEventLoop loop = new SelectorEventLoop("node");
+        RouterServer server = startServer(settings, planner, plannerLock);
         String name = NodeAddresses.memberName(settings, NodeRoles.ROUTER);
         PrefixIndexUpdater index = new PrefixIndexUpdater(planner, plannerLock);
         PrefixCacheEventPublisher publisher = new PrefixCacheEventPublisher(loop, index);
@@ -63,7 +68,12 @@
                 sources::onRouterCount);
         ControllerLinks links = new ControllerLinks(
                 new ControllerUpdateApplier(planner, plannerLock, server, sources, routerCount, publisher));
-        MembershipService membership = join(settings, loop, links, routerCount, sources);
+        RouterPositionTracker position = new RouterPositionTracker(name, settings.zone());
+        MembershipService membership = join(settings, loop, links, routerCount, sources, members -> {
+            if (position.onMembers(members)) {
+                setPosition(planner, plannerLock, position.position());
+            }
+        });
         loop.execute(() -> publisher.start(sources::isShared, () -> links.publishingController(name, settings.zone())));
         SettingsFileWatcher.start(newer -> loop.execute(() -> links.addControllers(NodeAddresses.seeds(newer))));
         ShutdownHook.onSignal(() -> {
@@ -95,21 +105,22 @@
             SelectorEventLoop loop,
             ControllerLinks links,
             RouterCountMonitor routerCount,
-            SourceSubscriptions sources)
+            SourceSubscriptions sources,
+            Consumer<Collection<MemberInfo>> onMembers)
             throws IOException {
         String name = NodeAddresses.memberName(settings, NodeRoles.ROUTER);
         String address = NodeAddresses.own(settings, NodeRoles.ROUTER);
         List<String> seeds = NodeAddresses.seeds(settings);
-        UUID incarnation = UUID.randomUUID();
+        long processId = RandomIds.nonZero();
         NodeTransport transport = new NodeTransport(
                 loop,
-                new NodeMessage.Hello(name, NodeRoles.ROUTER, address, settings.zone(), "", incarnation.toString()),
+                new NodeMessage.Hello(
+                        name, NodeRoles.ROUTER, address, settings.zone(), "", Long.toHexString(processId)),
                 NodeAddresses.socket(address),
                 links);
         MembershipService membership = new MembershipService(
                 loop,
-                new MembershipService.Self(
-                        name, NodeRoles.ROUTER, settings.zone(), incarnation.getLeastSignificantBits()),
+                new MembershipService.Self(name, NodeRoles.ROUTER, settings.zone(), processId),
                 NodeAddresses.socket(address),
                 seeds,
                 SwimSettings.defaults());
@@ -118,6 +129,7 @@
             routerCount.start(links::isConnectedToMostKnownControllers);
             membership.addListener(routerCount);
             membership.addListener(changes -> sources.onMembers(membership.members()));
+            membership.addListener(changes -> onMembers.accept(membership.members()));
             membership.addListener(changes ->
                     links.addControllers(MembershipService.appearedAddresses(changes, NodeRoles.CONTROLLER)));
             membership.start();
@@ -131,6 +143,12 @@
         }
     }
 
+    private static void setPosition(Planner planner, Object plannerLock, RouterPosition position) {
+        synchronized (plannerLock) {
+            planner.onRouterPosition(position, System.nanoTime());
+        }
+    }
+
     private static PlannerSettings plannerSettings(NodeSettings settings) {
         NodeBounds bounds = settings.bounds();
         return PlannerSettings.of(
--- a/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
+++ b/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
@@ -103,7 +103,7 @@
 
     /** The first bytes of a response's body were received, or its end. */
     void onFirstBytes(Attempt from) {
-        context.planner().onFirstEvent(from.request(), from.placement());
+        context.planner().onFirstEvent(from.request(), from.placement(), from.serverLoad());
     }
 
     /** An instance has reported the version of its weights; 0 if it has not. */
--- a/router/src/main/java/burlarch/router/forwarding/SynchronizedPlanner.java
+++ b/router/src/main/java/burlarch/router/forwarding/SynchronizedPlanner.java
@@ -37,9 +37,9 @@
         }
     }
 
-    void onFirstEvent(RouteRequest request, Placement.Send send) {
+    void onFirstEvent(RouteRequest request, Placement.Send send, ServerLoad load) {
         synchronized (lock) {
-            planner.onFirstEvent(request, send, System.nanoTime());
+            planner.onFirstEvent(request, send, load, System.nanoTime());
         }
     }
 
--- a/routing/src/main/java/burlarch/routing/Planner.java
+++ b/routing/src/main/java/burlarch/routing/Planner.java
@@ -27,6 +27,9 @@
     /** The number of live routers, this one included. They divide retry budgets and learned capacity. */
     void onLiveRouters(int live, long nowNanos);
 
+    /** The place of this router among the live routers of its zone, by which they share out the engines. */
+    void onRouterPosition(RouterPosition position, long nowNanos);
+
     /** Prefix-cache events of one engine or store, in the order in which it sent them. */
     void onKvEvents(KvEvents events, long nowNanos);
 
@@ -44,8 +47,12 @@
     /** The request is being sent to the instance of {@code send}. */
     void onSent(RouteRequest request, Placement.Send send, long nowNanos);
 
-    /** The first bytes of the response's body arrived. */
-    void onFirstEvent(RouteRequest request, Placement.Send send, long nowNanos);
+    /**
+     * The first bytes of the response's body arrived.
+     *
+     * @param load as the head of the response reported it, null if it carried none
+     */
+    void onFirstEvent(RouteRequest request, Placement.Send send, ServerLoad load, long nowNanos);
 
     /**
      * The attempt ended.
--- a/routing/src/main/java/burlarch/routing/instance/Engine.java
+++ b/routing/src/main/java/burlarch/routing/instance/Engine.java
@@ -27,6 +27,7 @@
     private final KvTransferSpeed transferSpeed = new KvTransferSpeed();
     private final Map<String, Long> versions = new HashMap<>(2);
     private Instance instance;
+    private int subsetDistance;
 
     /** @param serviceAverage speed of the instances of its service, used until its own is known */
     public Engine(Instance instance, EngineSpeed serviceAverage) {
@@ -85,6 +86,16 @@
         }
     }
 
+    /** How many subsets lie between the own one of this router and that of the engine; 0 for the own subset. */
+    public int subsetDistance() {
+        return subsetDistance;
+    }
+
+    /** Sets the {@link #subsetDistance()}. */
+    public void setSubsetDistance(int subsets) {
+        subsetDistance = subsets;
+    }
+
     /** Whether it announced that it accepts requests. */
     public boolean isReady() {
         return instance.state() == InstanceState.READY;
--- a/routing/src/main/java/burlarch/routing/planner/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/planner/CostModel.java
@@ -33,12 +33,15 @@
     static final long RUNNING_REQUEST_NANOS = 1_500_000L;
     /** Cost of another zone than the router's: traffic has a price there, and the path has more points of failure. */
     static final long OTHER_ZONE_NANOS = 4_000_000L;
+    /**
+     * Cost of an engine in the next subset; that of others grows with the logarithm of the distance. It is about what a
+     * transfer of cached tokens takes, so that a request stays in the subset where a transfer brings what it needs.
+     */
+    static final long NEXT_SUBSET_NANOS = 20_000_000L;
     /** An engine that is warming up is slower by this factor. */
     static final double WARM_UP_FACTOR = 1.5;
     /** Fraction of the indexed tokens that is trusted for an engine whose events were lost. */
     static final double UNCERTAIN_FACTOR = 0.8;
-    /** The first engine by rendezvous hash is chosen among those that cost at most so much more than the best. */
-    static final long RENDEZVOUS_SLACK_NANOS = 300_000_000L;
     /** Fraction of cached tokens that does not count as memory of a request: running requests share them. */
     static final double CACHED_TOKENS_MEMORY_FRACTION = 0.5;
     /** Expected output as a fraction of the request's limit of output tokens. */
@@ -73,6 +76,11 @@
         return predictedNanos + LATE_WEIGHT * Math.max(0, predictedNanos - Math.max(0, targetLeftNanos));
     }
 
+    /** Cost in nanoseconds of an engine so many subsets away: the more routers use it, the less its load is known. */
+    static double subsetNanos(int distance) {
+        return distance == 0 ? 0 : NEXT_SUBSET_NANOS * Math.log(1 + distance) / Math.log(2);
+    }
+
     /** KV cache that a request uses while it runs, in tokens, less what it shares with other requests. */
     static double memoryTokens(RouteRequest request, int cachedTokens) {
         int prompt = request.totalPromptTokens();
--- a/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
@@ -11,6 +11,7 @@
 import burlarch.routing.PlannerSettings;
 import burlarch.routing.RendezvousHash;
 import burlarch.routing.RouteRequest;
+import burlarch.routing.RouterPosition;
 import burlarch.routing.ServerLoad;
 import burlarch.routing.index.PrefixCacheIndex;
 import burlarch.routing.instance.Engine;
@@ -70,6 +71,11 @@
         fleet.onLiveRouters(live, nowNanos);
     }
 
+    @Override
+    public void onRouterPosition(RouterPosition position, long nowNanos) {
+        fleet.onRouterPosition(position);
+    }
+
     @Override
     public void onKvEvents(KvEvents events, long nowNanos) {
         fleet.onKvEvents(events, nowNanos);
@@ -137,7 +143,8 @@
     private Placement planPrompt(
             RouteRequest request, ServiceState service, List<Engine> usable, int attempt, long nowNanos) {
         salts.begin(request);
-        SchedulingChoice choice = promptScheduler.choose(request, service, usable, salts, nowNanos);
+        SchedulingChoice choice =
+                promptScheduler.choose(request, service, usable, salts, fleet.liveRouters(), nowNanos);
         if (attempt == 0 && wouldMissTarget(request, service, choice.predictedNanos(), nowNanos)) {
             return Refusals.busy(request, choice.predictedNanos(), nowNanos);
         }
@@ -184,8 +191,8 @@
     }
 
     @Override
-    public void onFirstEvent(RouteRequest request, Placement.Send send, long nowNanos) {
-        attempts.onFirstEvent(request, send, nowNanos);
+    public void onFirstEvent(RouteRequest request, Placement.Send send, ServerLoad load, long nowNanos) {
+        attempts.onFirstEvent(request, send, load, nowNanos);
     }
 
     @Override
--- a/routing/src/main/java/burlarch/routing/planner/FleetState.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetState.java
@@ -7,6 +7,7 @@
 import burlarch.routing.CacheSalt;
 import burlarch.routing.KvEvents;
 import burlarch.routing.PlannerSettings;
+import burlarch.routing.RouterPosition;
 import burlarch.routing.admission.FetchAdmission;
 import burlarch.routing.admission.RetryBudget;
 import burlarch.routing.index.PrefixCacheIndex;
@@ -32,6 +33,7 @@
     private final PlannerSettings settings;
     private final PrefixCacheIndex index;
     private final KvTransferPlanner transfers;
+    private final EngineSubsets subsets;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<String, Engine> engines = new HashMap<>();
     private Collection<Instance> instances = List.of();
@@ -41,6 +43,7 @@
         this.settings = settings;
         this.index = index;
         this.transfers = transfers;
+        this.subsets = new EngineSubsets(settings);
     }
 
     /** The service of that name, null if it is not configured or is a store. */
@@ -95,6 +98,7 @@
             sources.add(instance.id());
             onInstance(instance, nowNanos);
         }
+        assignSubsets();
         engines.keySet().retainAll(sources);
         sources.addAll(transfers.storeNames());
         index.retainSources(sources);
@@ -116,6 +120,17 @@
         }
     }
 
+    void onRouterPosition(RouterPosition position) {
+        subsets.onPosition(position);
+        assignSubsets();
+    }
+
+    private void assignSubsets() {
+        for (ServiceState service : services.values()) {
+            subsets.assign(service.engines());
+        }
+    }
+
     void onLiveRouters(int live, long nowNanos) {
         liveRouters = Math.max(1, live);
         for (ServiceState service : services.values()) {
--- a/routing/src/main/java/burlarch/routing/planner/InFlightAttempt.java
+++ b/routing/src/main/java/burlarch/routing/planner/InFlightAttempt.java
@@ -50,8 +50,6 @@
     private double waitNanosWhenSent;
     private long overdueNanos;
     private long firstEventNanos;
-    private int ownRequestsAtFirstEvent;
-    private int ownPrefillingAtFirstEvent;
 
     private InFlightAttempt(
             Engine engine,
@@ -124,9 +122,7 @@
     void onFirstEvent(long nowNanos) {
         state = State.RESPONDING;
         firstEventNanos = nowNanos;
-        ownRequestsAtFirstEvent = engine.load().ownRequests();
         engine.load().onPrefilled(tokensToPrefill);
-        ownPrefillingAtFirstEvent = engine.load().ownPrefilling();
         engine.health().onResponse(nowNanos);
     }
 
@@ -229,21 +225,6 @@
         return engineWasIdle;
     }
 
-    /** When the first event arrived; meaningful only after it. */
-    long firstEventNanos() {
-        return firstEventNanos;
-    }
-
-    /** Own requests at the engine when the first event arrived, this one included. */
-    int ownRequestsAtFirstEvent() {
-        return ownRequestsAtFirstEvent;
-    }
-
-    /** Those of them that were without a first event, this one excluded. */
-    int ownPrefillingAtFirstEvent() {
-        return ownPrefillingAtFirstEvent;
-    }
-
     /** Time from sending to the first event that the request would need if it were alone at the engine. */
     double uncontendedNanos() {
         return engine.speed().baseNanos() + engine.speed().prefillNanos(tokensToPrefill) + transferNanos;
--- a/routing/src/main/java/burlarch/routing/planner/InFlightAttempts.java
+++ b/routing/src/main/java/burlarch/routing/planner/InFlightAttempts.java
@@ -8,6 +8,7 @@
 import burlarch.routing.ServerLoad;
 import burlarch.routing.index.PrefixCacheIndex;
 import burlarch.routing.instance.Engine;
+import burlarch.routing.instance.EngineLoad;
 import java.util.ArrayDeque;
 import java.util.IdentityHashMap;
 import java.util.Map;
@@ -98,7 +99,7 @@
         awaitingFirstEvent.add(attempt);
     }
 
-    void onFirstEvent(RouteRequest request, Placement.Send send, long nowNanos) {
+    void onFirstEvent(RouteRequest request, Placement.Send send, ServerLoad reportedLoad, long nowNanos) {
         InFlightAttempt attempt = inFlight.get(send);
         if (attempt == null || !attempt.awaitsFirstEvent()) {
             return;
@@ -122,6 +123,9 @@
         } else if (attempt.engineWasIdle()) {
             engine.speed().onFirstEvent(attempt.tokensToPrefill(), elapsedNanos);
         }
+        if (reportedLoad != null) {
+            applyReportedLoad(attempt, reportedLoad, nowNanos);
+        }
         if (send.cacheSalt() != null) {
             index.confirm(engine.id(), send.cacheSalt(), request.segments(), nowNanos);
         }
@@ -147,8 +151,8 @@
         }
         boolean hadFirstEvent = attempt.onEnded();
         Engine engine = attempt.engine();
-        if (reportedLoad != null) {
-            applyReportedLoad(attempt, reportedLoad, hadFirstEvent, nowNanos);
+        if (reportedLoad != null && !hadFirstEvent) {
+            applyReportedLoad(attempt, reportedLoad, nowNanos);
         }
         engine.load().onEnded(attempt.memoryTokens());
         if (outcome.neverRan()) {
@@ -176,22 +180,16 @@
         observer.onEnded(attempt.observed(request, send, sameZone, outcome, nowNanos));
     }
 
-    /** The load is that of the response's head, so own requests are counted as of the first event. */
-    private static void applyReportedLoad(
-            InFlightAttempt attempt, ServerLoad reportedLoad, boolean hadFirstEvent, long nowNanos) {
-        Engine engine = attempt.engine();
-        engine.load()
-                .onLoadReported(
-                        reportedLoad,
-                        hadFirstEvent
-                                ? attempt.ownRequestsAtFirstEvent()
-                                : engine.load().ownRequests(),
-                        hadFirstEvent
-                                ? attempt.ownPrefillingAtFirstEvent()
-                                : engine.load().ownPrefilling(),
-                        attempt.service().meanPrefillTokens(),
-                        engine.speed(),
-                        hadFirstEvent ? attempt.firstEventNanos() : nowNanos);
+    /** The head of a response, which has just arrived, reported the load. */
+    private static void applyReportedLoad(InFlightAttempt attempt, ServerLoad reportedLoad, long nowNanos) {
+        EngineLoad load = attempt.engine().load();
+        load.onLoadReported(
+                reportedLoad,
+                load.ownRequests(),
+                load.ownPrefilling(),
+                attempt.service().meanPrefillTokens(),
+                attempt.engine().speed(),
+                nowNanos);
     }
 
     /**
--- a/routing/src/main/java/burlarch/routing/planner/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/planner/PromptScheduler.java
@@ -1,8 +1,6 @@
 package burlarch.routing.planner;
 
-import burlarch.routing.CacheSalt;
 import burlarch.routing.PlannerSettings;
-import burlarch.routing.RendezvousHash;
 import burlarch.routing.RouteRequest;
 import burlarch.routing.RouteRequest.PromptSegment;
 import burlarch.routing.index.PrefixCacheIndex;
@@ -14,7 +12,7 @@
 /**
  * Schedules requests with a prompt: compares engines by what they cache of it, by what they have to prefill
  * before, and by their memory. A fetch, a request whose shared segments no engine caches, goes to the engine
- * that rendezvous hashing assigns to its segments, so that all routers build one copy at the same engine.
+ * that rendezvous hashing assigns to its segments, see {@link FetchPlacement}.
  *
  * <p>The arrays hold a value for each candidate of the current call, by its index; they are reused.
  */
@@ -27,6 +25,7 @@
     private final PlannerSettings settings;
     private final PrefixCacheIndex index;
     private final KvTransferPlanner transfers;
+    private final FetchPlacement fetches = new FetchPlacement();
     private final SchedulingChoice choice = new SchedulingChoice();
     /** Tokens of the prompt that the candidate caches. */
     private int[] cachedTokens = new int[16];
@@ -38,6 +37,8 @@
     private long[] saltHashes = new long[16];
     private double[] predictedNanos = new double[16];
     private double[] costs = new double[16];
+    /** A transfer of common segments is paid once, and serves all later requests at that engine. */
+    private double[] costsWithoutTransfer = new double[16];
 
     PromptScheduler(PlannerSettings settings, PrefixCacheIndex index, KvTransferPlanner transfers) {
         this.settings = settings;
@@ -45,12 +46,17 @@
         this.transfers = transfers;
     }
 
-    /** Chooses the best of the candidates, which must not be empty. */
+    /**
+     * Chooses the best of the candidates, which must not be empty.
+     *
+     * @param liveRouters number of live routers, this one included
+     */
     SchedulingChoice choose(
             RouteRequest request,
             ServiceState service,
             List<Engine> candidates,
             RequestCacheSalt salts,
+            int liveRouters,
             long nowNanos) {
         int size = candidates.size();
         ensureCapacity(size);
@@ -66,7 +72,10 @@
             estimateCost(request, service, candidates.get(i), i, nowNanos);
         }
         boolean fetch = shared - Math.min(mostCached, shared) >= CostModel.MIN_FETCH_TOKENS;
-        int chosen = fetch ? chooseByRendezvous(placementKey(request, known), candidates) : cheapest(size);
+        int chosen = cheapest(size);
+        if (fetch) {
+            chosen = fetches.choose(request, known, candidates, costsWithoutTransfer, liveRouters);
+        }
         choice.set(candidates.get(chosen), predictedNanos[chosen], cachedTokens[chosen], fetch);
         return choice;
     }
@@ -147,7 +156,9 @@
                 + wasteNanos
                 + memoryWaitNanos * CostModel.MEMORY_WEIGHT
                 + engine.load().requests(nowNanos) * CostModel.RUNNING_REQUEST_NANOS
+                + CostModel.subsetNanos(engine.subsetDistance())
                 + (settings.distance(settings.zone(), engine.instance().zone()) > 1 ? CostModel.OTHER_ZONE_NANOS : 0);
+        costsWithoutTransfer[i] = costs[i] - (transferPays ? transferNanos * CostModel.TRANSFER_WEIGHT : 0);
     }
 
     private static double queueNanos(Engine engine, long nowNanos) {
@@ -179,45 +190,6 @@
         return best;
     }
 
-    /**
-     * The candidate of the highest weight among those that cost little more than the best one. Routers mostly
-     * choose the same, because their views differ by less than the slack.
-     */
-    private int chooseByRendezvous(long key, List<Engine> candidates) {
-        int size = candidates.size();
-        double lowestCost = costs[cheapest(size)];
-        int chosen = -1;
-        long highestWeight = 0;
-        for (int i = 0; i < size; i++) {
-            long weight = RendezvousHash.weight(key, candidates.get(i).idHash());
-            if (costs[i] <= lowestCost + CostModel.RENDEZVOUS_SLACK_NANOS
-                    && (chosen < 0 || Long.compareUnsigned(weight, highestWeight) > 0)) {
-                chosen = i;
-                highestWeight = weight;
-            }
-        }
-        return chosen;
-    }
-
-    /**
-     * The key by which a fetch is assigned to an engine: model, isolated tenant and the first shared segment that
-     * nobody caches. So requests that lack the same segment meet at one engine, which prefills it once. The
-     * weights version is not part of the key: new weights leave the assignment as it is.
-     *
-     * @param known tokens of the prompt that anyone caches
-     */
-    static long placementKey(RouteRequest request, int known) {
-        List<PromptSegment> segments = request.segments();
-        long segment = 0;
-        int end = 0;
-        for (int i = 0; i < segments.size() - 1 && (i == 0 || end - known < CostModel.MIN_FETCH_TOKENS); i++) {
-            segment = segments.get(i).id();
-            end += segments.get(i).tokens();
-        }
-        String salt = CacheSalt.of(request.model(), 1, request.tenant(), "");
-        return CacheSalt.key(CacheSalt.hash(salt), segment);
-    }
-
     private void ensureCapacity(int size) {
         if (cachedTokens.length < size) {
             cachedTokens = new int[size * 2];
@@ -226,6 +198,7 @@
             saltHashes = new long[size * 2];
             predictedNanos = new double[size * 2];
             costs = new double[size * 2];
+            costsWithoutTransfer = new double[size * 2];
         }
     }
 }
--- /dev/null
+++ b/routing/src/test/java/burlarch/routing/planner/FetchPlacementTest.java
@@ -0,0 +1,103 @@
+package burlarch.routing.planner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.configuration.Configuration.Tenant;
+import burlarch.routing.RouteRequest;
+import burlarch.routing.RouteRequest.PromptSegment;
+import burlarch.routing.instance.Engine;
+import burlarch.routing.instance.EngineSpeed;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class FetchPlacementTest {
+    private static final Tenant TENANT = new Tenant("t", List.of("k"), null, false);
+    private static final int LEADING = 2_500;
+    private static final int SUBJECT = 3_800;
+
+    private final FetchPlacement placement = new FetchPlacement();
+
+    private static List<Engine> engines(int count) {
+        List<Engine> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(new Engine(Fixture.engine("e" + i, "z0", 16), new EngineSpeed()));
+        }
+        return engines;
+    }
+
+    private static RouteRequest request(long subject) {
+        return new RouteRequest(
+                "r",
+                Fixture.REVIEW,
+                TENANT,
+                Fixture.MODEL,
+                LEADING + SUBJECT + 500,
+                20,
+                List.of(
+                        new PromptSegment(11, LEADING),
+                        new PromptSegment(subject, SUBJECT),
+                        new PromptSegment(99, 500)),
+                false,
+                0,
+                8 * Fixture.SECOND);
+    }
+
+    /** The engines that routers with different views of the engines' loads choose for the same segment. */
+    private Set<Integer> choices(RouteRequest request, int liveRouters) {
+        List<Engine> engines = engines(20);
+        Random random = new Random(1);
+        Set<Integer> chosen = new HashSet<>();
+        for (int router = 0; router < 50; router++) {
+            double[] costs =
+                    random.doubles(engines.size(), 0, 100 * Fixture.MILLI).toArray();
+            chosen.add(placement.choose(request, 0, engines, costs, liveRouters));
+        }
+        return chosen;
+    }
+
+    @Test
+    void fewRoutersBuildOneReplica() {
+        assertThat(choices(request(22), 1)).hasSize(1);
+        assertThat(choices(request(22), 16)).hasSize(1);
+    }
+
+    @Test
+    void manyRoutersBuildAReplicaForEachSixteenOfThem() {
+        assertThat(choices(request(22), 17)).hasSize(2);
+        assertThat(choices(request(22), 84)).hasSize(6);
+    }
+
+    @Test
+    void ofTheReplicasTheCheapestIsChosen() {
+        List<Engine> engines = engines(3);
+        double[] costs = {2.0 * Fixture.MILLI, Fixture.MILLI, 3.0 * Fixture.MILLI};
+        assertThat(placement.choose(request(22), 0, engines, costs, 1_000)).isEqualTo(1);
+    }
+
+    @Test
+    void anEngineThatCostsFarMoreIsNeverChosen() {
+        List<Engine> engines = engines(4);
+        double[] costs = {0, 2.0 * Fixture.SECOND, 2.0 * Fixture.SECOND, 2.0 * Fixture.SECOND};
+        for (long subject = 100; subject < 130; subject++) {
+            assertThat(placement.choose(request(subject), 0, engines, costs, 84))
+                    .isZero();
+        }
+    }
+
+    @Test
+    void theFirstSegmentThatNobodyCachesDecides() {
+        List<Engine> engines = engines(20);
+        Set<Integer> bySubject = new HashSet<>();
+        Set<Integer> byLeading = new HashSet<>();
+        for (long subject = 100; subject < 200; subject++) {
+            bySubject.add(placement.choose(request(subject), LEADING, engines, new double[20], 10));
+            byLeading.add(placement.choose(request(subject), 0, engines, new double[20], 10));
+        }
+        assertThat(bySubject).hasSizeGreaterThan(15);
+        assertThat(byLeading).hasSize(1);
+    }
+}
