--- a/controller/src/main/java/burlarch/controller/ControllerRuntime.java
+++ b/controller/src/main/java/burlarch/controller/ControllerRuntime.java
@@ -2,6 +2,7 @@
 
 import burlarch.controller.api.ControlService;
 import burlarch.controller.api.OperatorService;
+import burlarch.controller.distribution.ConfigurationConfirmationService;
 import burlarch.controller.distribution.PrefixCacheEventForwarder;
 import burlarch.controller.distribution.QuorumReadGate;
 import burlarch.controller.distribution.RouterPublisher;
@@ -101,6 +102,7 @@
                 register,
                 publisher,
                 new QuorumReadGate(loop, register.client(), publisher),
+                new ConfigurationConfirmationService(loop, register.client()),
                 instances,
                 new PrefixCacheEventForwarder(
                         loop, environment.connections().codec(), settings.ownAddress(), settings.zone())));
--- a/controller/src/main/java/burlarch/controller/MessageHandlers.java
+++ b/controller/src/main/java/burlarch/controller/MessageHandlers.java
@@ -1,5 +1,6 @@
 package burlarch.controller;
 
+import burlarch.controller.distribution.ConfigurationConfirmationService;
 import burlarch.controller.distribution.PrefixCacheEventForwarder;
 import burlarch.controller.distribution.QuorumReadGate;
 import burlarch.controller.distribution.RouterPublisher;
@@ -13,5 +14,6 @@
         RegisterReplica register,
         RouterPublisher publisher,
         QuorumReadGate reads,
+        ConfigurationConfirmationService confirmations,
         InstanceReplicator instances,
         PrefixCacheEventForwarder prefixCacheEvents) {}
--- a/controller/src/main/java/burlarch/controller/NodeMessageDispatcher.java
+++ b/controller/src/main/java/burlarch/controller/NodeMessageDispatcher.java
@@ -60,6 +60,7 @@
         if (connection.peerHello().role().equals(NodeRoles.ROUTER)) {
             handlers.publisher().onRouterDisconnected(connection, advertisedAddresses());
             handlers.reads().onRouterDisconnected(connection);
+            handlers.confirmations().onRouterDisconnected(connection);
         } else {
             handlers.peers().onDisconnected(connection);
             handlers.register().quorumContact().onDisconnected(connection);
@@ -85,6 +86,8 @@
             handlers.publisher().onConfigurationAck(connection, ack.version());
         } else if (message instanceof NodeMessage.FetchConfiguration) {
             handlers.publisher().onFetchConfiguration(connection);
+        } else if (message instanceof NodeMessage.ConfirmConfiguration confirm) {
+            handlers.confirmations().onRequest(connection, confirm.request());
         } else if (message instanceof NodeMessage.InstancesAck ack) {
             handlers.publisher().onInstancesAck(connection, ack.revision());
         }
--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -14,10 +14,12 @@
 import burlarch.node.RandomIds;
 import burlarch.node.SettingsFileWatcher;
 import burlarch.node.ShutdownHook;
+import burlarch.router.control.ConfigurationConfirmer;
 import burlarch.router.control.ControllerLinks;
 import burlarch.router.control.RouterCountMonitor;
 import burlarch.router.control.RouterCountTracker;
 import burlarch.router.control.RouterPositionTracker;
+import burlarch.router.forwarding.CredentialValidity;
 import burlarch.router.prefixcache.PrefixCacheEventPublisher;
 import burlarch.router.prefixcache.PrefixIndexUpdater;
 import burlarch.router.prefixcache.SourceSubscriptions;
@@ -31,6 +33,7 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -47,7 +50,8 @@
         Planner planner = new FleetPlanner(plannerSettings(settings), AttemptLog.ifEnabled());
         Object plannerLock = new Object();
         SelectorEventLoop loop = new SelectorEventLoop("node");
-        RouterServer server = startServer(settings, planner, plannerLock);
+        Optional<ConfigurationConfirmer> confirmer = confirmer(settings, loop);
+        RouterServer server = startServer(settings, planner, plannerLock, confirmer);
         String name = NodeAddresses.memberName(settings, NodeRoles.ROUTER);
         PrefixIndexUpdater index = new PrefixIndexUpdater(planner, plannerLock);
         PrefixCacheEventPublisher publisher = new PrefixCacheEventPublisher(loop, index);
@@ -67,13 +71,14 @@
                 shares -> setBudgetShares(planner, plannerLock, shares),
                 sources::onRouterCount);
         ControllerLinks links = new ControllerLinks(
-                new ControllerUpdateApplier(planner, plannerLock, server, sources, routerCount, publisher));
+                new ControllerUpdateApplier(planner, plannerLock, server, sources, routerCount, publisher), confirmer);
         RouterPositionTracker position = new RouterPositionTracker(name, settings.zone());
         MembershipService membership = join(settings, loop, links, routerCount, sources, members -> {
             if (position.onMembers(members)) {
                 setPosition(planner, plannerLock, position.position());
             }
         });
+        confirmer.ifPresent(started -> loop.execute(() -> started.start(links::connectedControllers)));
         loop.execute(() -> publisher.start(sources::isShared, () -> links.publishingController(name, settings.zone())));
         SettingsFileWatcher.start(newer -> loop.execute(() -> links.addControllers(NodeAddresses.seeds(newer))));
         ShutdownHook.onSignal(() -> {
@@ -86,15 +91,25 @@
                 settings.listen().front());
     }
 
-    private static RouterServer startServer(NodeSettings settings, Planner planner, Object plannerLock)
+    /** Only where the revocation of a key has a bound of its own, because each confirmation costs a quorum read. */
+    private static Optional<ConfigurationConfirmer> confirmer(NodeSettings settings, SelectorEventLoop loop) {
+        return settings.bounds().revocation()
+                ? Optional.of(new ConfigurationConfirmer(loop, settings.bounds().revokeNanos()))
+                : Optional.empty();
+    }
+
+    private static RouterServer startServer(
+            NodeSettings settings, Planner planner, Object plannerLock, Optional<ConfigurationConfirmer> confirmer)
             throws Exception {
+        CredentialValidity credentials = confirmer.isPresent() ? confirmer.get() : CredentialValidity.UNBOUNDED;
         long graceMillis = TimeUnit.NANOSECONDS.toMillis(settings.bounds().graceNanos());
         RouterServer server = new RouterServer(
                 new RouterServerSettings(
                         settings.listen().front(), settings.listen().readiness(), graceMillis),
                 planner,
                 plannerLock,
-                IndexedRouteTable::of);
+                IndexedRouteTable::of,
+                credentials);
         server.start();
         return server;
     }
--- a/router/src/main/java/burlarch/router/RouterServer.java
+++ b/router/src/main/java/burlarch/router/RouterServer.java
@@ -5,6 +5,7 @@
 import burlarch.configuration.RouteTable;
 import burlarch.engine.DelayedExecutor;
 import burlarch.engine.EngineHttpClientFactory;
+import burlarch.router.forwarding.CredentialValidity;
 import burlarch.router.forwarding.Exchange;
 import burlarch.router.forwarding.ForwardingContext;
 import burlarch.router.forwarding.SynchronizedPlanner;
@@ -86,6 +87,20 @@
             Planner planner,
             Object plannerLock,
             Function<Configuration, RouteTable> routeTables) {
+        this(settings, planner, plannerLock, routeTables, CredentialValidity.UNBOUNDED);
+    }
+
+    /**
+     * As {@link #RouterServer(RouterServerSettings, Planner, Object, Function)}.
+     *
+     * @param credentials whether requests that need a key are forwarded at the moment
+     */
+    public RouterServer(
+            RouterServerSettings settings,
+            Planner planner,
+            Object plannerLock,
+            Function<Configuration, RouteTable> routeTables,
+            CredentialValidity credentials) {
         this.settings = settings;
         this.routeTables = routeTables;
         this.planner = new SynchronizedPlanner(planner, plannerLock);
@@ -101,7 +116,7 @@
                         POOL_MAX_MEMORY_BYTES,
                         POOL_MAX_MEMORY_BYTES));
         this.client = new UpstreamClient(threads, scheduler, settings.connectTimeoutMillis());
-        this.context = new ForwardingContext(this.planner, client, scheduler, startupGate, drainState);
+        this.context = new ForwardingContext(this.planner, client, scheduler, startupGate, drainState, credentials);
         this.handler = new ClientRequestHandler(
                 requests, drainState, () -> ready && !draining, (request, response) -> new Exchange(
                                 context, request, response)
--- a/router/src/main/java/burlarch/router/control/ControllerLinks.java
+++ b/router/src/main/java/burlarch/router/control/ControllerLinks.java
@@ -8,6 +8,7 @@
 import burlarch.transport.NodeMessage;
 import burlarch.transport.NodeMessage.ConfigurationAck;
 import burlarch.transport.NodeMessage.ConfigurationChange;
+import burlarch.transport.NodeMessage.ConfigurationConfirmed;
 import burlarch.transport.NodeMessage.ConfigurationUpdate;
 import burlarch.transport.NodeMessage.FetchConfiguration;
 import burlarch.transport.NodeMessage.FleetUpdate;
@@ -18,6 +19,7 @@
 import burlarch.transport.PeerConnectionListener;
 import burlarch.transport.PeerConnections;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -59,6 +61,7 @@
     }
 
     private final UpdateHandler handler;
+    private final Optional<ConfigurationConfirmer> confirmer;
     private final MergedInstanceView mergedInstances = new MergedInstanceView();
     /** The connected controllers, and how many routers each of them has reported last. */
     private final Map<PeerConnection, Integer> reportedRouters = new HashMap<>();
@@ -73,9 +76,15 @@
     /** The instances in effect; null until a controller has sent some. */
     private List<Instance> instances;
 
-    /** Links without a transport; see {@link #start}. */
+    /** Links without a transport; see {@link #start}. The configuration in force is never confirmed. */
     public ControllerLinks(UpdateHandler handler) {
+        this(handler, Optional.empty());
+    }
+
+    /** As {@link #ControllerLinks(UpdateHandler)}; the confirmer is notified of what concerns it. */
+    public ControllerLinks(UpdateHandler handler, Optional<ConfigurationConfirmer> confirmer) {
         this.handler = handler;
+        this.confirmer = confirmer;
     }
 
     /** Connects to the seed controllers; to be called once, before any connection is up. */
@@ -122,6 +131,11 @@
         return 2 * reportedRouters.size() > controllers.size();
     }
 
+    /** The connected controllers, in no order. */
+    public Collection<PeerConnection> connectedControllers() {
+        return Collections.unmodifiableSet(reportedRouters.keySet());
+    }
+
     /**
      * The connected controller through which a router publishes its prefix-cache updates: by rendezvous
      * hashing, and one of the router's own zone if there is one. Empty if no controller is connected.
@@ -146,6 +160,7 @@
         Logger.info("controller connected: node={}", connection.peerHello().nodeName());
         reportedRouters.put(connection, 1);
         acknowledgeConfiguration(connection);
+        confirmer.ifPresent(ConfigurationConfirmer::onControllerConnected);
     }
 
     @Override
@@ -162,6 +177,8 @@
             addControllers(update.controllers());
             reportedRouters.put(connection, update.routerCount());
             applyRouterCount();
+        } else if (message instanceof ConfigurationConfirmed confirmed) {
+            confirmer.ifPresent(known -> known.onConfirmed(confirmed, configuration.version()));
         } else if (message instanceof PrefixCacheEvents events) {
             handler.onPrefixCacheBatch(events.batch());
         }
@@ -219,6 +236,7 @@
                 return;
             }
             configuration = newer;
+            confirmer.ifPresent(known -> known.onInForce(newer.version()));
             Logger.info("configuration in force: version={}", configuration.version());
             reportedRouters.keySet().forEach(this::acknowledgeConfiguration);
         } else {
--- a/router/src/main/java/burlarch/router/forwarding/Exchange.java
+++ b/router/src/main/java/burlarch/router/forwarding/Exchange.java
@@ -145,13 +145,23 @@
             return;
         }
         body = complete;
-        RequestReader.Result result = RequestReader.read(
-                context.routeTable(), request.getHttpURI(), request.getHeaders(), request.getHeadersNanoTime());
+        RouteTable table = context.routeTable();
+        RequestReader.Result result =
+                RequestReader.read(table, request.getHttpURI(), request.getHeaders(), request.getHeadersNanoTime());
         if (result instanceof RequestReader.Rejected rejected) {
             respond(rejected.status(), null, ConnectionAfter.REUSABLE);
             return;
         }
-        forward(((RequestReader.Accepted) result).request());
+        RouteRequest routed = ((RequestReader.Accepted) result).request();
+        if (needsKey(table, routed) && !context.credentials().mayAccept(routed.receivedNanos())) {
+            respond(503, RETRY_SOON, ConnectionAfter.REUSABLE);
+            return;
+        }
+        forward(routed);
+    }
+
+    private static boolean needsKey(RouteTable table, RouteRequest routed) {
+        return table.requiresKey() && !routed.route().isPublic();
     }
 
     private void forward(RouteRequest routed) {
--- a/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
+++ b/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
@@ -17,6 +17,7 @@
     private final Scheduler scheduler;
     private final StartupGate startupGate;
     private final DrainState drain;
+    private final CredentialValidity credentials;
     private final RequestBodyBudget bodies = new RequestBodyBudget(MAX_BODY_BYTES);
     private final FailureLog failures = new FailureLog();
     private volatile RouteTable routeTable;
@@ -27,12 +28,14 @@
             UpstreamClient client,
             Scheduler scheduler,
             StartupGate startupGate,
-            DrainState drain) {
+            DrainState drain,
+            CredentialValidity credentials) {
         this.planner = planner;
         this.client = client;
         this.scheduler = scheduler;
         this.startupGate = startupGate;
         this.drain = drain;
+        this.credentials = credentials;
     }
 
     SynchronizedPlanner planner() {
@@ -65,6 +68,11 @@
         return drain;
     }
 
+    /** Whether keys may be accepted at the moment. */
+    CredentialValidity credentials() {
+        return credentials;
+    }
+
     /** Null until a configuration is in force. */
     RouteTable routeTable() {
         return routeTable;
--- a/simulation/src/main/java/burlarch/simulation/coordination/check/RouterChecker.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/check/RouterChecker.java
@@ -9,7 +9,8 @@
 /**
  * Verifies what routers apply, and when: {@link Rule#ROUTER_APPLIES_COMMITTED}, {@link Rule#ROUTER_VERSION_RISES},
  * {@link Rule#ROUTER_APPLIES_IN_TIME}, {@link Rule#ROUTERS_NOTIFIED_FIRST}, {@link Rule#DRAIN_IN_TIME} and
- * {@link Rule#HEARTBEAT_IN_TIME}. The rules of time hold for routers that {@link Connectivity} calls connected.
+ * {@link Rule#HEARTBEAT_IN_TIME}; {@link Rule#REVOKED_IN_TIME} holds for all routers. The rules of time hold for
+ * routers that {@link Connectivity} calls connected.
  */
 public final class RouterChecker {
     private final Simulation simulation;
@@ -53,6 +54,8 @@
                 }
             });
         }
+        checkRevocationAfter(FleetTimings.REVOKE_LIMIT_NANOS, version);
+        checkRevocationAfter(FleetTimings.REVOKE_LIMIT_NANOS + FleetTimings.APPLY_LIMIT_NANOS, version);
         checkRoutersAfter(
                 FleetTimings.APPLY_LIMIT_NANOS,
                 Rule.ROUTER_APPLIES_IN_TIME,
@@ -99,6 +102,20 @@
         return checkCount;
     }
 
+    /** Holds for all routers that run, connected or not. */
+    private void checkRevocationAfter(long limitNanos, long version) {
+        simulation.scheduleAfter(limitNanos + 1, () -> {
+            for (String name : simulation.machineNames()) {
+                simulation
+                        .node(name, RouterView.class)
+                        .filter(router -> router.version() < version && router.acceptsLimitedKeys(simulation.now()))
+                        .ifPresent(router -> violations.add(
+                                Rule.REVOKED_IN_TIME,
+                                name + " accepts the keys of version " + router.version() + ", not of " + version));
+            }
+        });
+    }
+
     private void checkRoutersAfter(long limitNanos, Rule rule, String what, Predicate<RouterView> holds) {
         long since = simulation.now();
         simulation.schedule(
--- a/simulation/src/main/java/burlarch/simulation/coordination/check/RouterView.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/check/RouterView.java
@@ -5,6 +5,13 @@
     /** Version of the configuration that the router has applied; 0 before the first. */
     long version();
 
+    /**
+     * Whether the router would accept the keys of its configuration from a request that it receives now. False where
+     * the
+     * validity of keys has no limit, because then no such router is wrong.
+     */
+    boolean acceptsLimitedKeys(long now);
+
     /** Whether the router lists the instance as one that takes requests. */
     boolean sendsTo(String instance);
 
--- a/simulation/src/main/java/burlarch/simulation/coordination/check/Rule.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/check/Rule.java
@@ -25,6 +25,8 @@
     ROUTER_APPLIES_IN_TIME("late"),
     /** Connected routers have applied a configuration before its change is acknowledged to the operator. */
     ROUTERS_NOTIFIED_FIRST("told"),
+    /** No router, connected or not, accepts the keys of a configuration that was replaced longer ago than allowed. */
+    REVOKED_IN_TIME("revoked"),
     /** Connected routers know of an acknowledged drain or leave within {@code FleetTimings.DRAIN_LIMIT_NANOS}. */
     DRAIN_IN_TIME("drain"),
     /** Connected routers list an instance soon after a connected controller acknowledged its heartbeat. */
--- a/simulation/src/main/java/burlarch/simulation/coordination/node/ComponentOverrides.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/node/ComponentOverrides.java
@@ -11,6 +11,7 @@
 import burlarch.transport.PeerConnection;
 import burlarch.transport.PeerConnectionListener;
 import java.util.Collection;
+import java.util.OptionalLong;
 
 /**
  * Substitutes for components of controllers and routers: test doubles, by which a test plants a fault or observes a
@@ -50,6 +51,16 @@
         return real;
     }
 
+    /** For how long routers accept keys after the configuration was confirmed, in nanoseconds; empty for no limit. */
+    default OptionalLong keyValidityNanos() {
+        return OptionalLong.empty();
+    }
+
+    /** Whether a router accepts keys; {@code real} is the real decision. */
+    default boolean acceptsKeys(boolean real) {
+        return real;
+    }
+
     /** What takes the messages of controllers at a router. */
     default PeerConnectionListener routerListener(PeerConnectionListener real) {
         return real;
--- a/simulation/src/main/java/burlarch/simulation/coordination/node/RouterNode.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/node/RouterNode.java
@@ -5,6 +5,7 @@
 import burlarch.coordination.registry.MergedInstanceView;
 import burlarch.node.MembershipService;
 import burlarch.node.NodeRoles;
+import burlarch.router.control.ConfigurationConfirmer;
 import burlarch.router.control.ControllerLinks;
 import burlarch.simulation.NodeContext;
 import burlarch.simulation.SimulatedNode;
@@ -18,6 +19,7 @@
 import burlarch.transport.PeerConnectionListener;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** A router as far as controllers steer it: the real {@link ControllerLinks}, without requests of clients. */
@@ -30,6 +32,7 @@
     private SimulatedPeerConnections connections;
     private SimulatedMembership membership;
     private ControllerLinks controllers;
+    private Optional<ConfigurationConfirmer> confirmer = Optional.empty();
     private final Set<String> metControllers = new HashSet<>();
     private List<Instance> instances = List.of();
     private long version;
@@ -46,7 +49,11 @@
     @Override
     public void start(long now) {
         loop.beginEvent(now);
-        controllers = new ControllerLinks(overrides.routerEffects(new RecordingEffects()));
+        confirmer = overrides.keyValidityNanos().isPresent()
+                ? Optional.of(new ConfigurationConfirmer(
+                        loop, overrides.keyValidityNanos().getAsLong()))
+                : Optional.empty();
+        controllers = new ControllerLinks(overrides.routerEffects(new RecordingEffects()), confirmer);
         NodeMessage.Hello hello = new NodeMessage.Hello(
                 context.name(),
                 NodeRoles.ROUTER,
@@ -61,6 +68,7 @@
                 new MeetingRecorder(overrides.routerListener(controllers)),
                 failure -> checkers.onUnexpectedException(context.name(), failure));
         controllers.start(connections, seeds);
+        confirmer.ifPresent(started -> started.start(controllers::connectedControllers));
         membership = new SimulatedMembership(
                 context,
                 loop,
@@ -109,6 +117,11 @@
         return version;
     }
 
+    @Override
+    public boolean acceptsLimitedKeys(long now) {
+        return confirmer.isPresent() && overrides.acceptsKeys(confirmer.get().mayAccept(now));
+    }
+
     @Override
     public boolean sendsTo(String id) {
         return instances.stream()
--- a/simulation/src/main/java/burlarch/simulation/coordination/plan/FleetTimings.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/plan/FleetTimings.java
@@ -13,6 +13,11 @@
     /** After its acknowledgement a change, or a heartbeat, is applied at connected routers within this time. */
     public static final long APPLY_LIMIT_NANOS = Simulation.SECOND;
 
+    /**
+     * After its acknowledgement a change applies at all routers that accept keys, connected or not, within this time.
+     */
+    public static final long REVOKE_LIMIT_NANOS = 5 * Simulation.SECOND;
+
     /** After its acknowledgement a drain is known to connected routers within this time. */
     public static final long DRAIN_LIMIT_NANOS = Simulation.SECOND;
 
--- a/transport/src/main/java/burlarch/transport/FrameCodec.java
+++ b/transport/src/main/java/burlarch/transport/FrameCodec.java
@@ -68,6 +68,8 @@
         add(12, NodeMessage.PrefixCacheEvents.class);
         add(13, NodeMessage.ConfigurationChange.class);
         add(14, NodeMessage.FetchConfiguration.class);
+        add(15, NodeMessage.ConfirmConfiguration.class);
+        add(16, NodeMessage.ConfigurationConfirmed.class);
         add(32, RegisterMessage.PrepareRequest.class);
         add(33, RegisterMessage.PrepareResponse.class);
         add(34, RegisterMessage.AcceptRequest.class);
--- a/transport/src/main/java/burlarch/transport/NodeMessage.java
+++ b/transport/src/main/java/burlarch/transport/NodeMessage.java
@@ -108,6 +108,24 @@
      */
     record ConfigurationAck(@JsonProperty("version") long version) implements NodeMessage {}
 
+    /**
+     * Router to controller: asks which version of the configuration is the newest, by a quorum read that starts after
+     * this message was received.
+     *
+     * @param request number that the response repeats; rises with each request of a router
+     */
+    record ConfirmConfiguration(@JsonProperty("request") long request) implements NodeMessage {}
+
+    /**
+     * Controller to router: the response to {@link ConfirmConfiguration}. There is none if no quorum confirmed the
+     * read.
+     *
+     * @param request as in the request
+     * @param version of the configuration; 0 if there is none
+     */
+    record ConfigurationConfirmed(@JsonProperty("request") long request, @JsonProperty("version") long version)
+            implements NodeMessage {}
+
     /**
      * Controller to router: instances that are new or changed.
      *
--- a/transport/src/test/java/burlarch/transport/GoldenMessages.java
+++ b/transport/src/test/java/burlarch/transport/GoldenMessages.java
@@ -45,6 +45,8 @@
         all.put("configuration-change-whole", new NodeMessage.ConfigurationChange(0, 9, new byte[] {5, 0, -5}));
         all.put("fetch-configuration", new NodeMessage.FetchConfiguration());
         all.put("configuration-ack", new NodeMessage.ConfigurationAck(9));
+        all.put("confirm-configuration", new NodeMessage.ConfirmConfiguration(7));
+        all.put("configuration-confirmed", new NodeMessage.ConfigurationConfirmed(7, 9));
         all.put("instances-update-whole", new NodeMessage.InstancesUpdate(3, true, ofEachState()));
         all.put("instances-update", new NodeMessage.InstancesUpdate(4, false, List.of()));
         all.put("instances-ack", new NodeMessage.InstancesAck(Long.MAX_VALUE));
--- a/transport/src/test/java/burlarch/transport/SampleMessages.java
+++ b/transport/src/test/java/burlarch/transport/SampleMessages.java
@@ -48,6 +48,8 @@
                 new NodeMessage.ConfigurationChange(8, 9, new byte[] {5, 0, -5}),
                 new NodeMessage.FetchConfiguration(),
                 new NodeMessage.ConfigurationAck(-1),
+                new NodeMessage.ConfirmConfiguration(7),
+                new NodeMessage.ConfigurationConfirmed(7, 9),
                 new NodeMessage.InstancesUpdate(3, true, List.of(instance(), instance())),
                 new NodeMessage.InstancesAck(Long.MAX_VALUE),
                 new NodeMessage.InstanceAnnouncements(List.of(instance())),
