--- a/router/src/main/java/burlarch/router/control/ConfigurationConfirmer.java
+++ b/router/src/main/java/burlarch/router/control/ConfigurationConfirmer.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Supplier;
+import org.tinylog.Logger;
 
 /**
  * Has the configuration in force confirmed by a controller periodically, so that keys are accepted only as long as
@@ -31,11 +32,20 @@
     /** How often it is checked whether a request is due. */
     static final long CHECK_INTERVAL_NANOS = 250_000_000L;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Whether keys are accepted; updated at each check, for the log alone. */
+    private enum State {
+        KEYS_REJECTED,
+        KEYS_ACCEPTED
+    }
+
     private final EventLoop loop;
     private final long maxAgeNanos;
     private final ConfigurationConfirmation confirmation = new ConfigurationConfirmation();
     private Supplier<Collection<PeerConnection>> controllers = List::of;
     private int unanswered;
+    private State state = State.KEYS_REJECTED;
 
     /** @param maxAgeNanos for how long after its confirmation the configuration's keys are accepted */
     public ConfigurationConfirmer(EventLoop loop, long maxAgeNanos) {
@@ -54,12 +64,29 @@
     }
 
     private void check() {
+        reportState();
         if (isRequestDue()) {
             request();
         }
         loop.schedule(CHECK_INTERVAL_NANOS, this::check);
     }
 
+    private void reportState() {
+        State next = mayAccept(loop.nanoTime()) ? State.KEYS_ACCEPTED : State.KEYS_REJECTED;
+        if (next == state) {
+            return;
+        }
+        state = next;
+        if (state == State.KEYS_ACCEPTED) {
+            Logger.info("configuration confirmed, keys are accepted");
+        } else {
+            Logger.warn(
+                    "configuration not confirmed in time, keys are rejected: maxAgeMillis={} connectedControllers={}",
+                    maxAgeNanos / NANOS_PER_MILLI,
+                    controllers.get().size());
+        }
+    }
+
     private boolean isRequestDue() {
         long now = loop.nanoTime();
         if (!confirmation.isPending()) {
