--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -101,7 +101,8 @@
     private static RouterServer startServer(
             NodeSettings settings, Planner planner, Object plannerLock, Optional<ConfigurationConfirmer> confirmer)
             throws Exception {
-        CredentialValidity credentials = confirmer.isPresent() ? confirmer.get() : CredentialValidity.UNBOUNDED;
+        CredentialValidity credentials =
+                confirmer.isPresent() ? confirmer.get()::mayAccept : CredentialValidity.UNBOUNDED;
         long graceMillis = TimeUnit.NANOSECONDS.toMillis(settings.bounds().graceNanos());
         RouterServer server = new RouterServer(
                 new RouterServerSettings(
--- a/router/src/main/java/burlarch/router/control/ConfigurationConfirmer.java
+++ b/router/src/main/java/burlarch/router/control/ConfigurationConfirmer.java
@@ -1,6 +1,5 @@
 package burlarch.router.control;
 
-import burlarch.router.forwarding.CredentialValidity;
 import burlarch.transport.EventLoop;
 import burlarch.transport.NodeMessage.ConfigurationConfirmed;
 import burlarch.transport.NodeMessage.ConfirmConfiguration;
@@ -24,7 +23,7 @@
  * without a quorum does not respond, and the next one is asked. Runs on the event loop; {@link #mayAccept} on any
  * thread.
  */
-public final class ConfigurationConfirmer implements CredentialValidity {
+public final class ConfigurationConfirmer {
     /** Time from one confirmed request to the next. */
     static final long PERIOD_NANOS = 1_500_000_000L;
     /** How long a controller may take to respond before the next one is asked. */
@@ -126,7 +125,11 @@
         confirmation.onInForce(version);
     }
 
-    @Override
+    /**
+     * Whether keys may be accepted from a request.
+     *
+     * @param receivedNanos when the request was received, by the loop's clock
+     */
     public boolean mayAccept(long receivedNanos) {
         return confirmation.isConfirmedSince(receivedNanos - maxAgeNanos);
     }
