--- a/storage/src/main/java/burlarch/storage/LogRecovery.java
+++ b/storage/src/main/java/burlarch/storage/LogRecovery.java
@@ -35,6 +35,7 @@
      *
      * @param current the segment to append to, open; null if the log holds no snapshot yet
      * @param payloads the records of the current segment, the snapshot first
+     * @param endsMirrored whether the current segment ends with a copy
      * @param nextNumber a segment number that no file has
      * @param nextSequence a sequence above all that were ever read
      * @param unreadableFirstSegmentBytes length of the first segment if its snapshot cannot be read, or 0
@@ -42,6 +43,7 @@
     record Result(
             Segment current,
             List<byte[]> payloads,
+            boolean endsMirrored,
             ObsoleteSegments obsolete,
             long nextNumber,
             long nextSequence,
@@ -138,7 +140,7 @@
     }
 
     private Result emptyLog() {
-        return new Result(null, List.of(), obsolete, nextNumber, nextSequence, unreadableFirstSegmentBytes);
+        return new Result(null, List.of(), false, obsolete, nextNumber, nextSequence, unreadableFirstSegmentBytes);
     }
 
     private Result trustNewest() throws IOException {
@@ -147,7 +149,8 @@
         current.sync();
         disk.syncDirectory();
         obsolete.removeAll();
-        return new Result(current, newest.scan().payloads(), obsolete, nextNumber, nextSequence, 0);
+        SegmentScan scan = newest.scan();
+        return new Result(current, scan.payloads(), scan.endsMirrored(), obsolete, nextNumber, nextSequence, 0);
     }
 
     private void closeNewest() {
--- a/storage/src/main/java/burlarch/storage/Segment.java
+++ b/storage/src/main/java/burlarch/storage/Segment.java
@@ -20,8 +20,8 @@
  * {@code syncedBytes} and synced. Without that, remains of a given-up record could be read behind a shorter record that
  * was written in its place.
  *
- * <p><b>Proof of sync.</b> A record of the kind {@link SegmentRecord#AFTER_SYNCED} is written only in the state SYNCED,
- * where nothing before it is without a sync. {@link SegmentScanner} relies on it.
+ * <p><b>Proof of sync.</b> A record that {@link SegmentRecord#provesSync} is written only in the state SYNCED, where
+ * nothing before it is without a sync. {@link SegmentScanner} relies on it.
  *
  * <p>Owned by the log's thread. Whoever calls {@link #create} or {@link #open} closes the segment:
  * {@link SegmentedLog} the current one, {@link LogRecovery} all others.
@@ -76,10 +76,11 @@
      * Creates a file that holds one snapshot. When this returns, the snapshot and the directory entry are durable;
      * after a failure the file may exist with any part of the snapshot, and is closed.
      */
-    static Segment create(Disk disk, long number, long sequence, byte[] snapshot) throws IOException {
+    static Segment create(Disk disk, long number, long sequence, byte[] snapshot, Redundancy redundancy)
+            throws IOException {
         Segment segment = new Segment(number, disk.create(SegmentFileName.of(number)), Tail.SYNCED, 0, 0);
         try {
-            segment.write(new SegmentRecord(sequence, SegmentRecord.SNAPSHOT, snapshot));
+            segment.write(new SegmentRecord(sequence, SegmentRecord.SNAPSHOT, snapshot), redundancy);
             segment.sync();
             disk.syncDirectory();
             return segment;
@@ -124,14 +125,16 @@
         return endBytes;
     }
 
-    /** Writes a record without sync. After a failure every record since the last sync is undone. */
-    void append(long sequence, byte[] payload) throws IOException {
+    /**
+     * Writes a record without sync, and its copy in a mirrored log. After a failure every record since the last sync
+     * is undone.
+     */
+    void append(long sequence, byte[] payload, Redundancy redundancy) throws IOException {
         if (tail == Tail.SUSPECT) {
             cutTail();
         }
-        byte kind = tail == Tail.SYNCED ? SegmentRecord.AFTER_SYNCED : SegmentRecord.AFTER_UNSYNCED;
         try {
-            write(new SegmentRecord(sequence, kind, payload));
+            write(new SegmentRecord(sequence, kindOfNext(redundancy), payload), redundancy);
         } catch (IOException e) {
             giveUpTail();
             throw e;
@@ -163,6 +166,21 @@
         }
     }
 
+    private byte kindOfNext(Redundancy redundancy) {
+        boolean synced = tail == Tail.SYNCED;
+        return switch (redundancy) {
+            case SINGLE -> synced ? SegmentRecord.AFTER_SYNCED : SegmentRecord.AFTER_UNSYNCED;
+            case MIRRORED -> synced ? SegmentRecord.MIRRORED_AFTER_SYNCED : SegmentRecord.MIRRORED_AFTER_UNSYNCED;
+        };
+    }
+
+    private void write(SegmentRecord record, Redundancy redundancy) throws IOException {
+        write(record);
+        if (redundancy == Redundancy.MIRRORED) {
+            write(record.copy());
+        }
+    }
+
     private void write(SegmentRecord record) throws IOException {
         file.write(endBytes, record.encode());
         endBytes += record.sizeBytes();
--- a/storage/src/main/java/burlarch/storage/SegmentRecord.java
+++ b/storage/src/main/java/burlarch/storage/SegmentRecord.java
@@ -19,8 +19,8 @@
  * </pre>
  *
  * @param sequence number of the record; it rises over all records and segments of a log
- * @param kind one of {@link #SNAPSHOT}, {@link #AFTER_SYNCED}, {@link #AFTER_UNSYNCED}; a byte of another value is kept
- *     as it was read, since a record of a later program's kind still counts as intact
+ * @param kind one of the constants of this class; a byte of another value is kept as it was read, since a record of a
+ *     later program's kind still counts as intact
  * @param payload what the log's user wrote
  */
 record SegmentRecord(long sequence, byte kind, byte[] payload) {
@@ -32,11 +32,39 @@
     static final byte AFTER_SYNCED = 'R';
     /** A record that was written when something before it in the segment had not been synced yet. */
     static final byte AFTER_UNSYNCED = 'U';
+    /** As {@link #AFTER_SYNCED}; a {@link #COPY} follows. */
+    static final byte MIRRORED_AFTER_SYNCED = 'M';
+    /** As {@link #AFTER_UNSYNCED}; a {@link #COPY} follows. */
+    static final byte MIRRORED_AFTER_UNSYNCED = 'N';
+    /** The payload of the record before it once more, under the next sequence. */
+    static final byte COPY = 'C';
+    /** The snapshot before it once more, under the next sequence. */
+    static final byte SNAPSHOT_COPY = 'D';
 
     private static final int CHECKSUM_OFFSET = 4;
     private static final int SEQUENCE_OFFSET = 8;
     private static final int KIND_OFFSET = 16;
 
+    /** Returns the copy that follows this record in a mirrored log. */
+    SegmentRecord copy() {
+        return new SegmentRecord(sequence + 1, kind == SNAPSHOT ? SNAPSHOT_COPY : COPY, payload);
+    }
+
+    /** Returns whether a copy of this record follows. Not of a snapshot, which has one in a mirrored log only. */
+    boolean hasCopy() {
+        return kind == MIRRORED_AFTER_SYNCED || kind == MIRRORED_AFTER_UNSYNCED;
+    }
+
+    /** Returns whether this is a copy of the record before it. */
+    boolean isCopy() {
+        return kind == COPY || kind == SNAPSHOT_COPY;
+    }
+
+    /** Returns whether the record proves that all before it had been synced when it was written. */
+    static boolean provesSync(byte kind) {
+        return kind == AFTER_SYNCED || kind == MIRRORED_AFTER_SYNCED;
+    }
+
     /** Returns the length of the record on disk. */
     int sizeBytes() {
         return HEADER_BYTES + payload.length;
--- a/storage/src/main/java/burlarch/storage/SegmentScan.java
+++ b/storage/src/main/java/burlarch/storage/SegmentScan.java
@@ -12,9 +12,15 @@
  * @param provenSyncedSequence highest sequence of an intact record behind the readable part that proves that
  *     everything before it had been synced; 0 if there is none. If it is above the highest readable sequence of the
  *     whole log, then synced records are lost.
+ * @param endsMirrored whether the last readable record is a copy, so that each record of the segment may have one
  */
 record SegmentScan(
-        List<byte[]> payloads, long lastSequence, long readableBytes, long fileSizeBytes, long provenSyncedSequence) {
+        List<byte[]> payloads,
+        long lastSequence,
+        long readableBytes,
+        long fileSizeBytes,
+        long provenSyncedSequence,
+        boolean endsMirrored) {
     /** Returns whether at least the snapshot can be read. */
     boolean hasSnapshot() {
         return readableBytes > 0;
--- a/storage/src/main/java/burlarch/storage/SegmentedLog.java
+++ b/storage/src/main/java/burlarch/storage/SegmentedLog.java
@@ -32,6 +32,7 @@
 
     private final Disk disk;
     private final long segmentBytes;
+    private final Redundancy redundancy;
     private final ObsoleteSegments obsolete;
     /** Length of the first segment if its snapshot could not be read when the log was opened, or 0. */
     private final long unreadableFirstSegmentBytes;
@@ -40,30 +41,41 @@
 
     private List<byte[]> recoveredRecords;
     private long snapshotEndBytes;
+    /** Whether the current segment holds records without a copy although this log is mirrored: it gets no more. */
+    private boolean replaceCurrent;
+
     private long nextNumber;
     private long nextSequence;
 
-    private SegmentedLog(Disk disk, long segmentBytes, LogRecovery.Result recovered) {
+    private SegmentedLog(Disk disk, long segmentBytes, Redundancy redundancy, LogRecovery.Result recovered) {
         this.disk = disk;
         this.segmentBytes = segmentBytes;
+        this.redundancy = redundancy;
         obsolete = recovered.obsolete();
         unreadableFirstSegmentBytes = recovered.unreadableFirstSegmentBytes();
         current = recovered.current();
         recoveredRecords = recovered.payloads();
         snapshotEndBytes = current == null ? 0 : SegmentRecord.HEADER_BYTES + recoveredRecords.get(0).length;
+        replaceCurrent = current != null && redundancy == Redundancy.MIRRORED && !recovered.endsMirrored();
         nextNumber = recovered.nextNumber();
         nextSequence = recovered.nextSequence();
     }
 
     /**
-     * Opens the log of a disk. Other files there are left alone.
+     * Opens the log of a disk, of either redundancy. Other files there are left alone.
      *
      * @param segmentBytes how much may follow a snapshot until {@link #isSnapshotDue}
+     * @param redundancy of the records that are written from now on
      * @throws DamagedLogException if records are lost that had been synced; opening again does not help
      * @throws IOException if the disk cannot be read or synced; opening may be tried again
      */
+    static SegmentedLog open(Disk disk, long segmentBytes, Redundancy redundancy) throws IOException {
+        return new SegmentedLog(disk, segmentBytes, redundancy, LogRecovery.recover(disk));
+    }
+
+    /** Opens a log that writes each record once, as the longer form does. */
     public static SegmentedLog open(Disk disk, long segmentBytes) throws IOException {
-        return new SegmentedLog(disk, segmentBytes, LogRecovery.recover(disk));
+        return open(disk, segmentBytes, Redundancy.SINGLE);
     }
 
     /** Returns whether there is no snapshot yet; then {@link #replaceWithSnapshot} must come before any append. */
@@ -78,7 +90,9 @@
      * @throws DamagedLogException if the first segment is longer than that and its snapshot cannot be read
      */
     void requireNeverUsed(long maxFirstSnapshotBytes) throws DamagedLogException {
-        if (isEmpty() && unreadableFirstSegmentBytes > SegmentRecord.HEADER_BYTES + maxFirstSnapshotBytes) {
+        long firstRecordBytes = SegmentRecord.HEADER_BYTES + maxFirstSnapshotBytes;
+        long firstBytes = redundancy == Redundancy.MIRRORED ? 2 * firstRecordBytes : firstRecordBytes;
+        if (isEmpty() && unreadableFirstSegmentBytes > firstBytes) {
             throw new DamagedLogException(SegmentFileName.of(LogRecovery.FIRST_NUMBER), 0);
         }
     }
@@ -102,7 +116,7 @@
         }
         for (byte[] record : records) {
             requireFits(record);
-            current.append(nextSequence++, record);
+            current.append(takeSequence(), record, redundancy);
         }
     }
 
@@ -115,9 +129,12 @@
         current.sync();
     }
 
-    /** Returns whether so much follows the snapshot that a new one is due. */
+    /**
+     * Returns whether a new snapshot is due: so much follows the last one, or the segment is of an earlier release
+     * that wrote each record once.
+     */
     public boolean isSnapshotDue() {
-        return !isEmpty() && current.endBytes() - snapshotEndBytes >= segmentBytes;
+        return replaceCurrent || !isEmpty() && current.endBytes() - snapshotEndBytes >= segmentBytes;
     }
 
     /**
@@ -138,6 +155,7 @@
             obsolete.add(current.fileName());
         }
         current = next;
+        replaceCurrent = false;
         snapshotEndBytes = next.endBytes();
         obsolete.removeAll();
     }
@@ -163,7 +181,7 @@
     private Segment createSegment(byte[] snapshot) throws IOException {
         long number = isEmpty() ? LogRecovery.FIRST_NUMBER : nextNumber++;
         try {
-            return Segment.create(disk, number, nextSequence++, snapshot);
+            return Segment.create(disk, number, takeSequence(), snapshot, redundancy);
         } catch (IOException e) {
             obsolete.add(SegmentFileName.of(number));
             obsolete.removeAll();
@@ -171,6 +189,13 @@
         }
     }
 
+    /** The sequence of the next record; in a mirrored log the one after it is its copy's. */
+    private long takeSequence() {
+        long sequence = nextSequence;
+        nextSequence += redundancy == Redundancy.MIRRORED ? 2 : 1;
+        return sequence;
+    }
+
     private static void requireFits(byte[] record) throws IOException {
         if (record.length > MAX_RECORD_BYTES) {
             throw new IOException("a record of " + record.length + " bytes is too large");
