--- a/admission/src/main/java/burlarch/admission/CallGapping.java
+++ b/admission/src/main/java/burlarch/admission/CallGapping.java
@@ -90,6 +90,11 @@
         return guaranteed + (offered[i] - guaranteed) * Math.max(0, capacity - used) / (total - used);
     }
 
+    /** ρ̂_i, the offered rate of a tenant as of the last offer. */
+    public double offered(int i) {
+        return offered[i >= 0 && i < share.length - 1 ? i : share.length - 1];
+    }
+
     /** ρ, the sum of the offered rates as of the last offer. */
     public double offeredTotal() {
         return offeredTotal;
--- a/admission/src/main/java/burlarch/admission/LearnedCapacity.java
+++ b/admission/src/main/java/burlarch/admission/LearnedCapacity.java
@@ -19,7 +19,7 @@
     /** Outcomes of a batch of evidence, also W of the goodput; how much quicker c climbs as they are rare. */
     private final double batch;
 
-    private final double floorPerSecond;
+    private double floorPerSecond;
     private final double haste;
 
     public final CallGapping throttle;
@@ -43,6 +43,12 @@
         perSecond = Math.max(floorPerSecond, start);
     }
 
+    /** Sets the least rate; one that was learned below it rises to it. */
+    public void setFloor(double perSecondAtLeast) {
+        floorPerSecond = perSecondAtLeast;
+        perSecond = Math.max(floorPerSecond, perSecond);
+    }
+
     public double perSecond() {
         return perSecond;
     }
--- a/routing/src/main/java/burlarch/routing/CacheSalt.java
+++ b/routing/src/main/java/burlarch/routing/CacheSalt.java
@@ -7,11 +7,13 @@
 /**
  * The salt under which engines cache prompt segments. It names the model, the weights version and, for an
  * isolated tenant, the tenant. Segments are shared only under equal salts, so no request can run on cache
- * entries of other weights or of a tenant from which it is isolated.
+ * entries of other weights or of a tenant from which it is isolated. The characters that separate the parts are
+ * escaped within names, so that no two combinations of parts have one salt.
  */
 public final class CacheSalt {
     private static final char SEPARATOR = '|';
     private static final char UNKNOWN_VERSION = '?';
+    private static final char ESCAPE = '%';
     private static final long MIX = 0xC2B2AE3D27D4EB4FL;
 
     private CacheSalt() {}
@@ -24,18 +26,26 @@
      * @param instance id of the engine
      */
     public static String of(String model, long version, Tenant tenant, String instance) {
-        StringBuilder salt = new StringBuilder(48).append(model).append(SEPARATOR);
+        StringBuilder salt = new StringBuilder(48).append(escape(model)).append(SEPARATOR);
         if (version > 0) {
             salt.append(version);
         } else {
-            salt.append(UNKNOWN_VERSION).append(instance);
+            salt.append(UNKNOWN_VERSION).append(escape(instance));
         }
         if (tenant != null && tenant.isolated()) {
-            salt.append(SEPARATOR).append(tenant.name());
+            salt.append(SEPARATOR).append(escape(tenant.name()));
         }
         return salt.toString();
     }
 
+    /** The name with percent codes in place of the characters that have a meaning in a salt. */
+    private static String escape(String name) {
+        if (name.indexOf(SEPARATOR) < 0 && name.indexOf(UNKNOWN_VERSION) < 0 && name.indexOf(ESCAPE) < 0) {
+            return name;
+        }
+        return name.replace("%", "%25").replace("|", "%7C").replace("?", "%3F");
+    }
+
     /** Whether the salt is unique to one engine, so that nothing cached under it can be shared. */
     public static boolean isOfUnknownVersion(String salt) {
         return salt.indexOf(UNKNOWN_VERSION) >= 0;
--- a/routing/src/main/java/burlarch/routing/admission/FetchAdmission.java
+++ b/routing/src/main/java/burlarch/routing/admission/FetchAdmission.java
@@ -29,6 +29,8 @@
     private static final double FLEET_FLOOR_PER_SECOND = 20;
     private static final long MIN_RETRY_MILLIS = 50;
     private static final long MAX_RETRY_MILLIS = 2_000;
+    /** A tenant floods a service if it offers so many times the mean of all tenants. */
+    private static final double FLOOD_FACTOR = 3;
     /** Index of a tenant that the configuration does not name. */
     private static final int UNKNOWN_TENANT = -1;
 
@@ -49,6 +51,7 @@
             unchanged = index != null && index == i;
         }
         if (unchanged) {
+            onLiveRouters(liveRouters);
             return;
         }
         tenants.clear();
@@ -60,8 +63,16 @@
             }
         }
         double initial = capacity == null ? initialPerSecond / liveRouters : capacity.perSecond();
-        double floor = Math.min(LearnedCapacity.FLOOR_PER_SECOND, FLEET_FLOOR_PER_SECOND / liveRouters);
-        capacity = new LearnedCapacity(shares, initial, floor, EVIDENCE_BATCH, 1);
+        capacity = new LearnedCapacity(shares, initial, floorPerSecond(liveRouters), EVIDENCE_BATCH, 1);
+    }
+
+    /** The number of live routers: the least rate of all of them together is divided by it. */
+    public void onLiveRouters(int liveRouters) {
+        capacity.setFloor(floorPerSecond(liveRouters));
+    }
+
+    private static double floorPerSecond(int liveRouters) {
+        return Math.min(LearnedCapacity.FLOOR_PER_SECOND, FLEET_FLOOR_PER_SECOND / Math.max(1, liveRouters));
     }
 
     /**
@@ -77,6 +88,12 @@
         return capacity.offer(indexOf(request.tenant()), windowSeconds(request.rank()), nowNanos);
     }
 
+    /** Whether the tenant of a request offers fetches at several times the mean rate of all tenants. */
+    public boolean isFlooding(RouteRequest request) {
+        double meanPerSecond = capacity.throttle.offeredTotal() / Math.max(1, tenants.size());
+        return capacity.throttle.offered(indexOf(request.tenant())) > FLOOD_FACTOR * meanPerSecond;
+    }
+
     /** An admitted fetch was not executed: its offer of {@code agoNanos} ago is taken back. */
     public void withdraw(RouteRequest request, long agoNanos) {
         capacity.withdraw(indexOf(request.tenant()), windowSeconds(request.rank()), agoNanos);
--- a/routing/src/main/java/burlarch/routing/planner/CostModel.java
+++ b/routing/src/main/java/burlarch/routing/planner/CostModel.java
@@ -38,6 +38,11 @@
      * transfer of cached tokens takes, so that a request stays in the subset where a transfer brings what it needs.
      */
     static final long NEXT_SUBSET_NANOS = 20_000_000L;
+    /**
+     * Cost of an engine whose weights newer ones are replacing: what begins there soon after they were named loses a
+     * fifth of its value. It is below what a late response costs, so that engines with new weights are not flooded.
+     */
+    static final long SUPERSEDED_WEIGHTS_NANOS = 200_000_000L;
     /** An engine that is warming up is slower by this factor. */
     static final double WARM_UP_FACTOR = 1.5;
     /** Fraction of the indexed tokens that is trusted for an engine whose events were lost. */
--- a/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
@@ -112,9 +112,13 @@
         if (usable.isEmpty()) {
             return Refusals.withoutInstance(request, "no instance is ready", nowNanos);
         }
-        return service.isModelService() && request.model() != null
+        Placement placement = service.isModelService() && request.model() != null
                 ? planPrompt(request, service, usable, attempt, nowNanos)
                 : planPlain(request, service, usable, attempt, nowNanos);
+        if (attempt == 0) {
+            service.urgencyExchange().onPlanned(request.rank(), placement instanceof Placement.Send, nowNanos);
+        }
+        return placement;
     }
 
     /** The service of the route, or one of its weighted services; the same for all attempts of a request. */
@@ -136,22 +140,27 @@
                 null,
                 settings.priorityOf(request.rank()),
                 (long) choice.predictedNanos());
-        attempts.prepare(send, InFlightAttempt.plain(choice.engine(), service, request));
+        attempts.prepare(send, InFlightAttempt.plain(choice.engine(), service, request, attempt));
         return send;
     }
 
     private Placement planPrompt(
             RouteRequest request, ServiceState service, List<Engine> usable, int attempt, long nowNanos) {
-        salts.begin(request);
+        salts.begin(request, service.newestSupersededVersion(request.model()));
         SchedulingChoice choice =
                 promptScheduler.choose(request, service, usable, salts, fleet.liveRouters(), nowNanos);
         if (attempt == 0 && wouldMissTarget(request, service, choice.predictedNanos(), nowNanos)) {
             return Refusals.busy(request, choice.predictedNanos(), nowNanos);
         }
         boolean offered = choice.isFetch() && attempt == 0;
-        if (offered && !admits(request, service, choice, nowNanos)) {
+        if (offered
+                && !admits(request, service, choice, nowNanos)
+                && !placesUrgent(request, service, choice, nowNanos)) {
             return Refusals.overFetchQuota(request, service.admission(), nowNanos);
         }
+        if (attempt == 0 && yieldsToUrgent(request, service, choice, nowNanos)) {
+            return Refusals.busy(request, choice.predictedNanos(), nowNanos);
+        }
         KvTransferPlanner.TransferSource source = transfers.chooseSource(request, service, choice, salts, nowNanos);
         String salt = salts.text(choice.engine());
         Placement.Send send = new Placement.Send(
@@ -159,10 +168,10 @@
                 salt,
                 choice.engine().version(request.model()),
                 source == null ? null : source.address(),
-                transfers.storeToSaveTo(request, salt, nowNanos),
+                transfers.storeToSaveTo(request, salts, choice.engine(), nowNanos),
                 settings.priorityOf(request.rank()),
                 (long) choice.predictedNanos());
-        attempts.prepare(send, InFlightAttempt.prompt(service, request, choice, source, offered));
+        attempts.prepare(send, InFlightAttempt.prompt(service, request, attempt, choice, source, offered));
         return send;
     }
 
@@ -176,6 +185,26 @@
                                 < FREE_ENGINE_TARGET_FRACTION * request.latencyTargetLeftNanos(nowNanos);
     }
 
+    /** Whether a fetch that is not admitted takes the place of less urgent requests; not for a tenant that floods. */
+    private static boolean placesUrgent(
+            RouteRequest request, ServiceState service, SchedulingChoice choice, long nowNanos) {
+        return !service.admission().isFlooding(request)
+                && service.urgencyExchange()
+                        .placesUrgent(request.rank(), tokensToPrefill(request, choice), nowNanos);
+    }
+
+    /** Whether the request gives way to more urgent fetches that are not admitted. */
+    private static boolean yieldsToUrgent(
+            RouteRequest request, ServiceState service, SchedulingChoice choice, long nowNanos) {
+        return !service.hasSpareSlots(nowNanos)
+                && service.urgencyExchange()
+                        .yieldsToUrgent(request.rank(), tokensToPrefill(request, choice), nowNanos);
+    }
+
+    private static int tokensToPrefill(RouteRequest request, SchedulingChoice choice) {
+        return Math.max(0, request.totalPromptTokens() - choice.cachedTokens());
+    }
+
     /** Whether the first event is expected so late that the request is not worth a slot that others could use. */
     private boolean wouldMissTarget(RouteRequest request, ServiceState service, double predictedNanos, long nowNanos) {
         double limitNanos =
--- a/routing/src/main/java/burlarch/routing/planner/FleetState.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetState.java
@@ -135,6 +135,7 @@
         liveRouters = Math.max(1, live);
         for (ServiceState service : services.values()) {
             service.budget().onLiveRouters(liveRouters, nowNanos);
+            service.admission().onLiveRouters(liveRouters);
         }
     }
 
--- a/routing/src/main/java/burlarch/routing/planner/InFlightAttempt.java
+++ b/routing/src/main/java/burlarch/routing/planner/InFlightAttempt.java
@@ -30,6 +30,7 @@
 
     private final Engine engine;
     private final ServiceState service;
+    private final int attemptNumber;
     /** Weights version that the engine was known to have when the attempt was planned. */
     private final long versionAtPlanning;
 
@@ -55,6 +56,7 @@
             Engine engine,
             ServiceState service,
             RouteRequest request,
+            int attemptNumber,
             boolean fetch,
             int cachedTokens,
             int tokensToPrefill,
@@ -63,6 +65,7 @@
             double memoryTokens) {
         this.engine = engine;
         this.service = service;
+        this.attemptNumber = attemptNumber;
         this.versionAtPlanning = engine.version(request.model());
         this.fetch = fetch;
         this.plannedAsFetch = fetch;
@@ -73,20 +76,26 @@
         this.memoryTokens = memoryTokens;
     }
 
-    /** An attempt of a request without a cached prompt. */
-    static InFlightAttempt plain(Engine engine, ServiceState service, RouteRequest request) {
-        return new InFlightAttempt(engine, service, request, false, 0, 0, 0, 0, 0);
+    /**
+     * An attempt of a request without a cached prompt.
+     *
+     * @param attemptNumber from 0
+     */
+    static InFlightAttempt plain(Engine engine, ServiceState service, RouteRequest request, int attemptNumber) {
+        return new InFlightAttempt(engine, service, request, attemptNumber, false, 0, 0, 0, 0, 0);
     }
 
     /**
      * An attempt of a request with a cached prompt.
      *
+     * @param attemptNumber from 0
      * @param source of the transfer of cached segments, null for none
      * @param offeredAsFetch whether it was offered to admission as a fetch
      */
     static InFlightAttempt prompt(
             ServiceState service,
             RouteRequest request,
+            int attemptNumber,
             SchedulingChoice choice,
             KvTransferPlanner.TransferSource source,
             boolean offeredAsFetch) {
@@ -95,6 +104,7 @@
                 choice.engine(),
                 service,
                 request,
+                attemptNumber,
                 offeredAsFetch,
                 choice.cachedTokens(),
                 Math.max(0, request.totalPromptTokens() - choice.cachedTokens() - transferred),
@@ -178,6 +188,11 @@
         return service;
     }
 
+    /** Number of the attempt among those of its request, from 0. */
+    int attemptNumber() {
+        return attemptNumber;
+    }
+
     long versionAtPlanning() {
         return versionAtPlanning;
     }
--- a/routing/src/main/java/burlarch/routing/planner/KvTransferPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/KvTransferPlanner.java
@@ -95,6 +95,7 @@
         long saltHash = salts.hash(choice.engine());
         if (request.totalPromptTokens() - choice.cachedTokens() < CostModel.MIN_TRANSFER_TOKENS
                 || segments.isEmpty()
+                || salts.isSuperseded(choice.engine())
                 || choice.engine().version(request.model()) == 0) {
             return null;
         }
@@ -204,11 +205,16 @@
 
     /**
      * Address of the store that is to save the shared segments of a request: the nearest one, or null if a store
-     * caches them already, if they are too short, or if the salt is unique to one engine.
+     * caches them already, if they are too short, if the salt is unique to one engine, or if its weights are
+     * superseded.
      */
-    String storeToSaveTo(RouteRequest request, String salt, long nowNanos) {
+    String storeToSaveTo(RouteRequest request, RequestCacheSalt salts, Engine engine, long nowNanos) {
         int shared = request.sharedTokens();
-        if (stores.isEmpty() || shared < CostModel.MIN_SAVE_TOKENS || CacheSalt.isOfUnknownVersion(salt)) {
+        String salt = salts.text(engine);
+        if (stores.isEmpty()
+                || shared < CostModel.MIN_SAVE_TOKENS
+                || CacheSalt.isOfUnknownVersion(salt)
+                || salts.isSuperseded(engine)) {
             return null;
         }
         long saltHash = CacheSalt.hash(salt);
--- a/routing/src/main/java/burlarch/routing/planner/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/planner/PromptScheduler.java
@@ -69,7 +69,15 @@
         }
         int known = lookUpKnownTokens(candidates, salts, segments, nowNanos);
         for (int i = 0; i < size; i++) {
+            boolean superseded = salts.isSuperseded(candidates.get(i));
+            if (superseded) {
+                transferableTokens[i] = 0;
+            }
             estimateCost(request, service, candidates.get(i), i, nowNanos);
+            if (superseded) {
+                costs[i] += CostModel.SUPERSEDED_WEIGHTS_NANOS;
+                costsWithoutTransfer[i] += CostModel.SUPERSEDED_WEIGHTS_NANOS;
+            }
         }
         boolean fetch = shared - Math.min(mostCached, shared) >= CostModel.MIN_FETCH_TOKENS;
         int chosen = cheapest(size);
--- a/routing/src/main/java/burlarch/routing/planner/RequestCacheSalt.java
+++ b/routing/src/main/java/burlarch/routing/planner/RequestCacheSalt.java
@@ -8,6 +8,11 @@
 /**
  * The cache salt of the current request at each engine. Most engines have the same weights version and thus
  * the same salt; it is recomputed only when the version differs from the one asked for before.
+ *
+ * <p>Invariant <em>no transfer of superseded weights</em>: what is cached under the salt of a superseded version is
+ * neither fetched from elsewhere nor saved to a store. A request that an engine retains while it loads new weights
+ * computes the rest of its prompt under these, yet caches it under the salt that it was sent with; transferred to an
+ * engine that still has the old weights, it would be memory of another version.
  */
 final class RequestCacheSalt {
     private static final long NOT_COMPUTED = -1;
@@ -17,11 +22,23 @@
     private long version = NOT_COMPUTED;
     private String text;
     private long hash;
+    private long newestSupersededVersion;
 
-    /** Begins with another request. */
-    void begin(RouteRequest next) {
+    /**
+     * Begins with another request.
+     *
+     * @param newestSuperseded the newest version of its model's weights that is superseded, 0 for none
+     */
+    void begin(RouteRequest next, long newestSuperseded) {
         request = next;
         version = NOT_COMPUTED;
+        newestSupersededVersion = newestSuperseded;
+    }
+
+    /** Whether the engine has weights that newer ones are replacing. An engine of unknown version has not. */
+    boolean isSuperseded(Engine engine) {
+        long engineVersion = engine.version(request.model());
+        return engineVersion != UNKNOWN_VERSION && engineVersion <= newestSupersededVersion;
     }
 
     /** The salt at an engine. */
--- a/routing/src/main/java/burlarch/routing/planner/RetryPolicy.java
+++ b/routing/src/main/java/burlarch/routing/planner/RetryPolicy.java
@@ -65,11 +65,18 @@
         return Decision.ALLOWED;
     }
 
-    /** Counts an attempt that is sent: as a first one, as a retry, or not at all if no instance received any before. */
-    static void countSend(RetryBudget budget, AttemptHistory.PreviousAttempts previous, long nowNanos) {
-        if (previous.count() == 0) {
+    /**
+     * Counts an attempt that is sent: as a first one, as a retry, or not at all if no instance received any before.
+     *
+     * @param attempt number of the attempt, from 0
+     * @param previous {@link AttemptHistory#NONE} if nothing is retained of the earlier attempts; then an instance may
+     *     have received one of them
+     */
+    static void countSend(
+            RetryBudget budget, AttemptHistory.PreviousAttempts previous, int attempt, long nowNanos) {
+        if (attempt == 0) {
             budget.onFirstSend(nowNanos);
-        } else if (previous.possiblyReceived() > 0) {
+        } else if (previous == AttemptHistory.NONE || previous.possiblyReceived() > 0) {
             budget.onRetry(nowNanos);
         }
     }
--- a/routing/src/main/java/burlarch/routing/planner/ServiceState.java
+++ b/routing/src/main/java/burlarch/routing/planner/ServiceState.java
@@ -1,7 +1,9 @@
 package burlarch.routing.planner;
 
 import burlarch.configuration.Configuration.Service;
+import burlarch.coordination.registry.InstanceState;
 import burlarch.routing.admission.FetchAdmission;
+import burlarch.routing.admission.UrgencyExchange;
 import burlarch.routing.admission.RetryBudget;
 import burlarch.routing.instance.Engine;
 import burlarch.routing.instance.EngineSpeed;
@@ -24,6 +26,7 @@
     private final List<Engine> engines = new ArrayList<>();
     private final RetryBudget budget;
     private final FetchAdmission admission;
+    private final UrgencyExchange urgencyExchange = new UrgencyExchange();
     private final Map<String, SeenVersion> newestVersions = new HashMap<>(2);
     private Service service;
     private double meanPrefillTokens = 1_000;
@@ -58,6 +61,11 @@
         return admission;
     }
 
+    /** Gives its urgent fetches the capacity of less urgent requests. */
+    UrgencyExchange urgencyExchange() {
+        return urgencyExchange;
+    }
+
     /** Whether its instances are model engines, with a prefix cache. */
     boolean isModelService() {
         return service.engine() != null;
@@ -121,6 +129,22 @@
         return seen == null || nowNanos - seen.sinceNanos() < graceNanos ? 0 : seen.version();
     }
 
+    /**
+     * The newest weights version that is being replaced by a newer one: versions up to it are superseded. A newer
+     * version was seen, or an engine with that version loads another. 0 if none is known to be replaced.
+     */
+    long newestSupersededVersion(String model) {
+        SeenVersion seen = newestVersions.get(model);
+        long superseded = seen == null ? 0 : seen.version() - 1;
+        for (int i = 0; i < engines.size(); i++) {
+            Engine engine = engines.get(i);
+            if (engine.instance().state() == InstanceState.LOADING) {
+                superseded = Math.max(superseded, engine.version(model));
+            }
+        }
+        return superseded;
+    }
+
     /** Whether there are certainly free slots: under half of them in use, and no instance with a known queue. */
     boolean hasSpareSlots(long nowNanos) {
         double requests = 0;
--- /dev/null
+++ b/routing/src/test/java/burlarch/routing/admission/FetchAdmissionTest.java
@@ -0,0 +1,34 @@
+package burlarch.routing.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlarch.configuration.Configuration.Tenant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FetchAdmissionTest {
+    private static final List<Tenant> TENANTS = List.of(new Tenant("t", List.of("key"), null, false));
+    private static final long SECOND = 1_000_000_000L;
+
+    private final FetchAdmission admission = new FetchAdmission();
+
+    /** Rates that all routers hold at least have to sum to the same, however many routers there are. */
+    @Test
+    void theLeastRateFollowsTheNumberOfRoutersWhileTenantsStayTheSame() {
+        admission.configure(TENANTS, 60, 1);
+        admission.configure(TENANTS, 60, 100);
+
+        assertThat(rateAfterManyFailures()).isEqualTo(0.2);
+
+        admission.onLiveRouters(20);
+
+        assertThat(admission.perSecond()).isEqualTo(1);
+    }
+
+    private double rateAfterManyFailures() {
+        for (int i = 1; i <= 4_000; i++) {
+            admission.onOutcome(i * SECOND, 1, false, i * SECOND);
+        }
+        return admission.perSecond();
+    }
+}
