--- a/controller/src/main/java/burlarch/controller/NodeMessageDispatcher.java
+++ b/controller/src/main/java/burlarch/controller/NodeMessageDispatcher.java
@@ -100,6 +100,7 @@
         if (advertisedAddresses().size() != knownBefore) {
             handlers.publisher().scheduleFleetUpdate(advertisedAddresses());
         }
+        handlers.peers().onAcceptorStatus(connection, status.acceptorAbstains());
         handlers.register().onPeerStatus(connection, status.committed());
     }
 
@@ -109,7 +110,10 @@
     }
 
     private ControllerStatus status() {
-        return new ControllerStatus(handlers.register().committed().proposalNumber(), advertisedAddresses());
+        return new ControllerStatus(
+                handlers.register().committed().proposalNumber(),
+                advertisedAddresses(),
+                handlers.register().acceptorAbstains());
     }
 
     private List<String> advertisedAddresses() {
--- a/controller/src/main/java/burlarch/controller/distribution/RouterPublisher.java
+++ b/controller/src/main/java/burlarch/controller/distribution/RouterPublisher.java
@@ -30,6 +30,10 @@
  * <tr><td>ALLOWED</td><td>a newer configuration is committed: it is sent that one</td><td>ALLOWED</td></tr>
  * <tr><td>any</td><td>{@link #onRouterDisconnected}</td><td>forgotten, waited for no longer</td></tr>
  * </table>
+ *
+ * <p>Invariant <em>routers first</em>: a configuration that is awaited is held by all connected routers, or the timeout
+ * is over. Soon after its start a controller doesn't know the routers that have yet to connect to it, so that it waits
+ * the timeout out; the other controllers send to these routers meanwhile.
  */
 public final class RouterPublisher {
     /**
@@ -42,6 +46,9 @@
     /** How long to wait for a new router's first acknowledgement before it is sent the complete document. */
     private static final long FIRST_ACK_TIMEOUT_NANOS = 100_000_000;
 
+    /** Within this time after the start of this process the routers connect to it. */
+    private static final long ROUTERS_CONNECT_NANOS = 2_000_000_000L;
+
     private enum ConfigurationAccess {
         AWAITING_QUORUM_READ,
         ALLOWED
@@ -53,6 +60,7 @@
     }
 
     private final EventLoop loop;
+    private final long startedAtNanos;
     private final FrameCodec codec;
     private final InstanceRegistry registry;
     private final ConfigurationDeltaSender configurationSender;
@@ -68,6 +76,7 @@
     /** A publisher without routers. */
     public RouterPublisher(EventLoop loop, FrameCodec codec, InstanceRegistry registry) {
         this.loop = loop;
+        startedAtNanos = loop.nanoTime();
         this.codec = codec;
         this.registry = registry;
         configurationSender = new ConfigurationDeltaSender(codec);
@@ -193,6 +202,11 @@
 
     /** Done when all connected routers hold the version of the configuration, or after the timeout; never fails. */
     public CompletableFuture<Void> awaitConfiguration(long version, long timeoutNanos) {
+        if (loop.nanoTime() - startedAtNanos < ROUTERS_CONNECT_NANOS) {
+            CompletableFuture<Void> timeoutOver = new CompletableFuture<>();
+            loop.schedule(timeoutNanos, () -> timeoutOver.complete(null));
+            return timeoutOver;
+        }
         return await(configurationAcks, version, timeoutNanos);
     }
 
--- a/controller/src/main/java/burlarch/controller/peers/ControllerPeers.java
+++ b/controller/src/main/java/burlarch/controller/peers/ControllerPeers.java
@@ -44,6 +44,12 @@
         DISCONNECTED
     }
 
+    /** What a controller says of its acceptor; {@code TAKES_PART} until it says otherwise. */
+    private enum AcceptorStatus {
+        TAKES_PART,
+        ABSTAINS
+    }
+
     private static final class Peer {
         private Connectivity connectivity = Connectivity.NEVER_CONNECTED;
         private long changedAtNanos;
@@ -51,6 +57,8 @@
         private String storageId = "";
 
         private String incarnation = "";
+        private AcceptorStatus acceptor = AcceptorStatus.TAKES_PART;
+        private long acceptorSinceNanos;
         /** Not null exactly while CONNECTED. */
         private PeerConnection connection;
 
@@ -62,6 +70,23 @@
             return connectivity == Connectivity.CONNECTED;
         }
 
+        private void onAcceptorStatus(AcceptorStatus status, long nowNanos) {
+            if (status != acceptor) {
+                acceptor = status;
+                acceptorSinceNanos = nowNanos;
+            }
+        }
+
+        private Candidate candidate(String address) {
+            AcceptorMember member = new AcceptorMember(storageId, address);
+            if (!isConnected()) {
+                return Candidate.ofUnreachable(member, changedAtNanos);
+            }
+            return acceptor == AcceptorStatus.ABSTAINS
+                    ? Candidate.ofAbstaining(member, acceptorSinceNanos)
+                    : Candidate.ofReachable(member, changedAtNanos);
+        }
+
         /** The one place where the connectivity changes. */
         private void become(Connectivity next, PeerConnection newConnection, long nowNanos) {
             connectivity = next;
@@ -130,12 +155,24 @@
         addAddresses(List.of(hello.address()));
         Peer peer = peers.get(hello.address());
         if (peer != null && connection.isOutbound()) {
+            if (!peer.incarnation.equals(hello.incarnation())) {
+                peer.onAcceptorStatus(AcceptorStatus.TAKES_PART, loop.nanoTime());
+            }
             peer.storageId = hello.storage();
             peer.incarnation = hello.incarnation();
             peer.become(Connectivity.CONNECTED, connection, loop.nanoTime());
         }
     }
 
+    /** A controller says over a connection whether its acceptor abstains. */
+    public void onAcceptorStatus(PeerConnection connection, boolean abstains) {
+        NodeMessage.Hello hello = connection.peerHello();
+        Peer peer = peers.get(hello.address());
+        if (peer != null && peer.incarnation.equals(hello.incarnation())) {
+            peer.onAcceptorStatus(abstains ? AcceptorStatus.ABSTAINS : AcceptorStatus.TAKES_PART, loop.nanoTime());
+        }
+    }
+
     /** A connection to or from a controller is lost. */
     public void onDisconnected(PeerConnection connection) {
         Peer peer = peers.get(connection.peerHello().address());
@@ -223,8 +260,7 @@
         List<Candidate> candidates = new ArrayList<>();
         peers.forEach((address, peer) -> {
             if (!peer.storageId.isEmpty() || !peer.isConnected()) {
-                candidates.add(new Candidate(
-                        new AcceptorMember(peer.storageId, address), peer.isConnected(), peer.changedAtNanos));
+                candidates.add(peer.candidate(address));
             }
         });
         return candidates;
--- a/controller/src/main/java/burlarch/controller/register/AcceptorSetReconciler.java
+++ b/controller/src/main/java/burlarch/controller/register/AcceptorSetReconciler.java
@@ -70,6 +70,7 @@
     private final RegisterClient register;
     private final ControllerPeers peers;
     private final AcceptorMember own;
+    private final AcceptorDiskMonitor ownDisk;
     private final long startedAtNanos;
     private final AcceptorSetPlanner planner;
     private final QuorumReachabilityReporter reachability;
@@ -85,6 +86,7 @@
      * Schedules the first check.
      *
      * @param own this process's acceptor
+     * @param ownDisk whether that acceptor can write to its disk
      * @param toleratedLosses the number of acceptors that may be lost at the same time
      */
     AcceptorSetReconciler(
@@ -93,12 +95,14 @@
             RegisterClient register,
             ControllerPeers peers,
             AcceptorMember own,
+            AcceptorDiskMonitor ownDisk,
             int toleratedLosses) {
         this.loop = loop;
         this.committed = committed;
         this.register = register;
         this.peers = peers;
         this.own = own;
+        this.ownDisk = ownDisk;
         startedAtNanos = loop.nanoTime();
         planner = new AcceptorSetPlanner(REMOVE_AFTER_NANOS, 2 * toleratedLosses + 1);
         reachability = new QuorumReachabilityReporter(startedAtNanos);
@@ -180,7 +184,10 @@
 
     private List<Candidate> candidates() {
         List<Candidate> candidates = new ArrayList<>(peers.candidates());
-        candidates.add(Candidate.ofReachable(own, startedAtNanos));
+        candidates.add(
+                ownDisk.abstains()
+                        ? Candidate.ofAbstaining(own, ownDisk.abstainingSinceNanos())
+                        : Candidate.ofReachable(own, startedAtNanos));
         return candidates;
     }
 
--- a/controller/src/main/java/burlarch/controller/register/RegisterReplica.java
+++ b/controller/src/main/java/burlarch/controller/register/RegisterReplica.java
@@ -18,10 +18,13 @@
  * messages to them. Runs on the event loop; the package's documentation says who owns which state.
  */
 public final class RegisterReplica {
+    private static final long DISK_CHECK_PERIOD_NANOS = 250_000_000;
+
     private final EventLoop loop;
     private final ControllerPeers peers;
     private final AcceptorMember own;
     private final CommittedState committed;
+    private final AcceptorDiskMonitor diskMonitor = new AcceptorDiskMonitor();
     private final LocalAcceptor acceptor;
     private final ProposalExecutor proposals;
     private final CommitLearner learner;
@@ -49,7 +52,7 @@
         this.peers = peers;
         own = new AcceptorMember(storage.store().identity(), ownAddress);
         committed = new CommittedState(storage.initialView());
-        acceptor = new LocalAcceptor(storage.store(), disk);
+        acceptor = new LocalAcceptor(storage.store(), disk, loop, diskMonitor);
         proposals =
                 new ProposalExecutor(loop, peers, acceptor, ownAddress, proposerName, random, committed::registerView);
         learner = new CommitLearner(loop, committed, acceptor);
@@ -65,7 +68,21 @@
     public void start(int toleratedLosses) {
         committed.addListener((state, origin) -> peers.retainAcceptors(addresses(committed.members())));
         committed.addListener((state, origin) -> acceptor.storeAcceptorSet(committed.registerView()));
-        new AcceptorSetReconciler(loop, committed, client, peers, own, toleratedLosses);
+        new AcceptorSetReconciler(loop, committed, client, peers, own, diskMonitor, toleratedLosses);
+        loop.schedule(DISK_CHECK_PERIOD_NANOS, this::checkDisk);
+    }
+
+    private void checkDisk() {
+        loop.schedule(DISK_CHECK_PERIOD_NANOS, this::checkDisk);
+        diskMonitor.check(loop.nanoTime());
+        if (diskMonitor.needsProbe()) {
+            acceptor.probeDisk();
+        }
+    }
+
+    /** Whether this process's acceptor takes no part, because its disk can't be written. */
+    public boolean acceptorAbstains() {
+        return diskMonitor.abstains();
     }
 
     /** Reads and changes the state. */
--- a/controller/src/main/java/burlarch/controller/register/RegisterStorage.java
+++ b/controller/src/main/java/burlarch/controller/register/RegisterStorage.java
@@ -5,12 +5,15 @@
 import burlarch.coordination.register.RegisterView;
 import burlarch.coordination.register.acceptorset.AcceptorMember;
 import burlarch.storage.AcceptorStore;
+import burlarch.storage.DamagedLogException;
+import burlarch.storage.DamagedLogQuarantine;
 import burlarch.storage.Disk;
 import burlarch.storage.SegmentedLog;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.tinylog.Logger;
 
 /**
  * What a controller recovers from its disk at its start. Opened before the event loop and the disk thread run.
@@ -40,7 +43,8 @@
     }
 
     /**
-     * Opens the disk, as the shorter form does.
+     * Opens the disk, as the shorter form does. A damaged log is set aside: the acceptor then has a new identity and no
+     * vote until the others admit it, as after the loss of its disk.
      *
      * @param segmentBytes size of a segment of the log, after which a snapshot is written
      */
@@ -52,6 +56,27 @@
             Supplier<String> newIdentity,
             long segmentBytes)
             throws IOException {
+        DamagedLogQuarantine quarantine = new DamagedLogQuarantine(disk);
+        quarantine.finish();
+        try {
+            return openIntact(disk, address, seeds, bootstrap, newIdentity, segmentBytes);
+        } catch (DamagedLogException damaged) {
+            Logger.error(
+                    "disk is damaged: log set aside, acceptor has no vote until the others admit it, error=\"{}\"",
+                    damaged.getMessage());
+            quarantine.begin();
+            return openIntact(disk, address, seeds, false, newIdentity, segmentBytes);
+        }
+    }
+
+    private static RegisterStorage openIntact(
+            Disk disk,
+            String address,
+            List<String> seeds,
+            boolean bootstrap,
+            Supplier<String> newIdentity,
+            long segmentBytes)
+            throws IOException {
         AcceptorStore store =
                 AcceptorStore.open(disk, () -> bootstrap ? firstIdentity(address) : newIdentity.get(), segmentBytes);
         RegisterView first = RegisterView.ofInitialAcceptors(firstMembers(store, seeds, bootstrap));
--- a/coordination/src/main/java/burlarch/coordination/register/acceptorset/AcceptorReachability.java
+++ b/coordination/src/main/java/burlarch/coordination/register/acceptorset/AcceptorReachability.java
@@ -1,6 +1,7 @@
 package burlarch.coordination.register.acceptorset;
 
 import burlarch.coordination.register.acceptorset.AcceptorSetPlanner.Candidate;
+import burlarch.coordination.register.acceptorset.AcceptorSetPlanner.Candidate.Availability;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,7 +24,9 @@
         /** There is no connection to its process now. */
         OUT_OF_REACH,
         /** The process at its address runs on another disk. */
-        DISK_REPLACED
+        DISK_REPLACED,
+        /** Its process can be reached, but its disk can't be written. */
+        DISK_UNUSABLE
     }
 
     /**
@@ -39,6 +42,7 @@
                 case NEVER_REACHED -> text + " was not reached yet";
                 case OUT_OF_REACH -> text + " is out of reach for " + unreachableNanos / NANOS_PER_SECOND + " s";
                 case DISK_REPLACED -> text + " came back without that disk";
+                case DISK_UNUSABLE -> text + " cannot write its disk for " + unreachableNanos / NANOS_PER_SECOND + " s";
             };
         }
     }
@@ -67,9 +71,12 @@
     }
 
     private static UnreachableAcceptor withoutConnection(AcceptorMember member, Candidate candidate, long nowNanos) {
-        return candidate == null
-                ? new UnreachableAcceptor(member, Reason.NEVER_REACHED, 0)
-                : new UnreachableAcceptor(member, Reason.OUT_OF_REACH, nowNanos - candidate.sinceNanos());
+        if (candidate == null) {
+            return new UnreachableAcceptor(member, Reason.NEVER_REACHED, 0);
+        }
+        Reason reason =
+                candidate.availability() == Availability.ABSTAINING ? Reason.DISK_UNUSABLE : Reason.OUT_OF_REACH;
+        return new UnreachableAcceptor(member, reason, nowNanos - candidate.sinceNanos());
     }
 
     private static Candidate findAt(String address, List<Candidate> candidates) {
--- a/coordination/src/main/java/burlarch/coordination/register/acceptorset/AcceptorSetPlanner.java
+++ b/coordination/src/main/java/burlarch/coordination/register/acceptorset/AcceptorSetPlanner.java
@@ -36,18 +36,38 @@
     /**
      * A controller's acceptor, as another controller sees it.
      *
-     * @param reachable whether its process can be reached now
+     * @param availability whether it can take part now
      * @param sinceNanos the time since which that is so, on the clock of the caller
      */
-    public record Candidate(AcceptorMember member, boolean reachable, long sinceNanos) {
+    public record Candidate(AcceptorMember member, Availability availability, long sinceNanos) {
+        /** Whether an acceptor can take part. */
+        public enum Availability {
+            /** Its process can be reached. */
+            REACHABLE,
+            /** Its process can't be reached. */
+            UNREACHABLE,
+            /** Its process can be reached and says that its disk can't be written, so that it does not vote. */
+            ABSTAINING
+        }
+
         /** A candidate that can be reached since that time. */
         public static Candidate ofReachable(AcceptorMember member, long sinceNanos) {
-            return new Candidate(member, true, sinceNanos);
+            return new Candidate(member, Availability.REACHABLE, sinceNanos);
         }
 
         /** A candidate that cannot be reached since that time. */
         public static Candidate ofUnreachable(AcceptorMember member, long sinceNanos) {
-            return new Candidate(member, false, sinceNanos);
+            return new Candidate(member, Availability.UNREACHABLE, sinceNanos);
+        }
+
+        /** A candidate that abstains since that time. */
+        public static Candidate ofAbstaining(AcceptorMember member, long sinceNanos) {
+            return new Candidate(member, Availability.ABSTAINING, sinceNanos);
+        }
+
+        /** Whether it can take part. */
+        public boolean reachable() {
+            return availability == Availability.REACHABLE;
         }
     }
 
@@ -62,7 +82,7 @@
     /**
      * Creates a planner without memory of failed changes.
      *
-     * @param removeAfterNanos for how long an acceptor must be unreachable before it counts as lost
+     * @param removeAfterNanos for how long an acceptor must be unreachable, or abstain, before it counts as lost
      * @param minMembers no set is made smaller than this
      */
     public AcceptorSetPlanner(long removeAfterNanos, int minMembers) {
@@ -146,7 +166,7 @@
                 .toList();
     }
 
-    /** The acceptors whose disk was replaced, then those that are unreachable for long enough. */
+    /** The acceptors whose disk was replaced, then those that could not take part for long enough. */
     private List<AcceptorMember> lostMembers(List<AcceptorMember> members, List<Candidate> candidates, long nowNanos) {
         List<AcceptorMember> lost = new ArrayList<>();
         List<AcceptorMember> unreachable = new ArrayList<>();
--- a/coordination/src/test/java/burlarch/coordination/register/acceptorset/AcceptorReachabilityTest.java
+++ b/coordination/src/test/java/burlarch/coordination/register/acceptorset/AcceptorReachabilityTest.java
@@ -40,6 +40,19 @@
                 .containsExactly("address-of-b (disk ...b) is out of reach for 3 s");
     }
 
+    @Test
+    void namesAnAcceptorThatAbstains() {
+        List<Candidate> known = List.of(
+                Candidate.ofReachable(member("a"), 0),
+                Candidate.ofAbstaining(member("b"), SECOND),
+                Candidate.ofAbstaining(member("c"), SECOND));
+        AcceptorReachability reach = AcceptorReachability.of(THREE, known, 4 * SECOND);
+        assertThat(reach.quorumReachable()).isFalse();
+        assertThat(reach.unreachable())
+                .extracting(Object::toString)
+                .contains("address-of-b (disk ...b) cannot write its disk for 3 s");
+    }
+
     @Test
     void jointSetNeedsAMajorityOfBothLists() {
         AcceptorSet changing = AcceptorSet.of(AcceptorSet.jointMembers(members("a", "b", "c"), members("c", "d", "e")));
--- a/coordination/src/test/java/burlarch/coordination/register/acceptorset/AcceptorSetPlannerTest.java
+++ b/coordination/src/test/java/burlarch/coordination/register/acceptorset/AcceptorSetPlannerTest.java
@@ -48,6 +48,16 @@
                 .containsExactly(member("a"), member("c"), wiped.member());
     }
 
+    @Test
+    void anAcceptorThatAbstainsIsReplacedAndIsNoSpare() {
+        Candidate abstains = Candidate.ofAbstaining(member("b"), 0);
+        assertThat(plan.nextMembers(members("abc"), List.of(up("a"), abstains, up("c"), up("d")), NOW)
+                        .orElseThrow())
+                .containsExactly(member("a"), member("c"), member("d"));
+        assertThat(plan.nextMembers(members("acd"), List.of(up("a"), abstains, up("c"), up("d"), up("e")), NOW))
+                .isEmpty();
+    }
+
     @Test
     void singleSpareIsNotAdded() {
         assertThat(plan.nextMembers(members("abc"), List.of(up("a"), up("b"), up("c"), up("d")), NOW))
--- a/routing/src/main/java/burlarch/routing/admission/UrgencyExchange.java
+++ b/routing/src/main/java/burlarch/routing/admission/UrgencyExchange.java
@@ -81,8 +81,7 @@
     private boolean isBehind(int urgent, int lessUrgent) {
         return planned[urgent] > 0
                 && planned[lessUrgent] >= MIN_PLANNED
-                && placed[urgent] / planned[urgent]
-                        < placed[lessUrgent] / planned[lessUrgent] - ALLOWED_DIFFERENCE;
+                && placed[urgent] / planned[urgent] < placed[lessUrgent] / planned[lessUrgent] - ALLOWED_DIFFERENCE;
     }
 
     private boolean isWorthwhile(int urgent, double tokens) {
--- a/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
@@ -189,16 +189,14 @@
     private static boolean placesUrgent(
             RouteRequest request, ServiceState service, SchedulingChoice choice, long nowNanos) {
         return !service.admission().isFlooding(request)
-                && service.urgencyExchange()
-                        .placesUrgent(request.rank(), tokensToPrefill(request, choice), nowNanos);
+                && service.urgencyExchange().placesUrgent(request.rank(), tokensToPrefill(request, choice), nowNanos);
     }
 
     /** Whether the request gives way to more urgent fetches that are not admitted. */
     private static boolean yieldsToUrgent(
             RouteRequest request, ServiceState service, SchedulingChoice choice, long nowNanos) {
         return !service.hasSpareSlots(nowNanos)
-                && service.urgencyExchange()
-                        .yieldsToUrgent(request.rank(), tokensToPrefill(request, choice), nowNanos);
+                && service.urgencyExchange().yieldsToUrgent(request.rank(), tokensToPrefill(request, choice), nowNanos);
     }
 
     private static int tokensToPrefill(RouteRequest request, SchedulingChoice choice) {
--- a/routing/src/main/java/burlarch/routing/planner/InFlightAttempts.java
+++ b/routing/src/main/java/burlarch/routing/planner/InFlightAttempts.java
@@ -67,8 +67,7 @@
         if (send.kvSave() != null) {
             transfers.onSaved(send.kvSave(), request, send.cacheSalt(), nowNanos);
         }
-        RetryPolicy.countSend(
-                attempt.service().budget(), history.of(request.id()), attempt.attemptNumber(), nowNanos);
+        RetryPolicy.countSend(attempt.service().budget(), history.of(request.id()), attempt.attemptNumber(), nowNanos);
         inFlight.put(send, attempt);
         awaitingFirstEvent.add(attempt);
     }
--- a/routing/src/main/java/burlarch/routing/planner/RetryPolicy.java
+++ b/routing/src/main/java/burlarch/routing/planner/RetryPolicy.java
@@ -72,8 +72,7 @@
      * @param previous {@link AttemptHistory#NONE} if nothing is retained of the earlier attempts; then an instance may
      *     have received one of them
      */
-    static void countSend(
-            RetryBudget budget, AttemptHistory.PreviousAttempts previous, int attempt, long nowNanos) {
+    static void countSend(RetryBudget budget, AttemptHistory.PreviousAttempts previous, int attempt, long nowNanos) {
         if (attempt == 0) {
             budget.onFirstSend(nowNanos);
         } else if (previous == AttemptHistory.NONE || previous.possiblyReceived() > 0) {
--- a/simulation/src/test/java/burlarch/simulation/coordination/CoordinationSearchTest.java
+++ b/simulation/src/test/java/burlarch/simulation/coordination/CoordinationSearchTest.java
@@ -40,6 +40,7 @@
     @ValueSource(
             strings = {
                 "lease-between-holders",
+                "acknowledged-by-one-that-just-started",
                 "two-removed-stay-acceptors",
                 "wiped-wiped-power-off",
                 "one-of-five-cut-off",
--- a/storage/src/main/java/burlarch/storage/DamagedLogException.java
+++ b/storage/src/main/java/burlarch/storage/DamagedLogException.java
@@ -9,8 +9,8 @@
  * <p><b>Cause:</b> bytes on the medium changed, or a file of the log was removed, after a successful sync.
  *
  * <p><b>What the caller may do:</b> opening again gives the same result, so there is no retry. The acceptor must not
- * vote. The operator replaces the disk or empties its directory; it then comes back with a new identity, as another
- * acceptor.
+ * vote under its identity. The log is set aside ({@link DamagedLogQuarantine}); the disk then comes back with a new
+ * identity, as another acceptor.
  */
 public final class DamagedLogException extends IOException {
     private static final long serialVersionUID = 1L;
--- a/transport/src/main/java/burlarch/transport/NodeMessage.java
+++ b/transport/src/main/java/burlarch/transport/NodeMessage.java
@@ -4,6 +4,7 @@
 import burlarch.coordination.register.RegisterMessage;
 import burlarch.coordination.register.RegisterValue;
 import burlarch.coordination.registry.Instance;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 
@@ -62,9 +63,13 @@
      *
      * @param committed proposal number of the newest value that the sender knows to be committed
      * @param controllers addresses of the other controllers that the sender knows
+     * @param acceptorAbstains whether the sender's acceptor does not vote because its disk can't be written; absent for
+     *     false
      */
     record ControllerStatus(
-            @JsonProperty("decided") ProposalNumber committed, @JsonProperty("controllers") List<String> controllers)
+            @JsonProperty("decided") ProposalNumber committed,
+            @JsonProperty("controllers") List<String> controllers,
+            @JsonProperty("abstains") @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean acceptorAbstains)
             implements NodeMessage {}
 
     /** Controller to controller: asks for {@link Committed} with its value. */
