--- a/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
+++ b/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
@@ -162,12 +162,21 @@
         }
     }
 
-    /** Cancels the attempt in flight, if there is one, without a report: the exchange has failed itself. */
+    /**
+     * Cancels the attempt in flight, if there is one: the exchange has failed itself. The planner is told of its end, as
+     * of each attempt's; if that fails too, nothing more can be done for it.
+     */
     void discardCurrent() {
         Attempt discarded = current;
         current = null;
-        if (discarded != null) {
-            discarded.cancel(AttemptOutcome.CANCELLED);
+        if (discarded == null) {
+            return;
+        }
+        AttemptOutcome ended = discarded.cancel(AttemptOutcome.CANCELLED);
+        try {
+            reportEnd(discarded, ended);
+        } catch (RuntimeException failure) {
+            context.failures().record("INTERNAL_ERROR", "planner", failure);
         }
     }
 
--- a/router/src/main/java/burlarch/router/forwarding/Exchange.java
+++ b/router/src/main/java/burlarch/router/forwarding/Exchange.java
@@ -2,6 +2,7 @@
 
 import burlarch.configuration.Configuration.Limits;
 import burlarch.configuration.RouteTable;
+import burlarch.router.http.Headers;
 import burlarch.router.server.ClientResponse;
 import burlarch.router.server.ClientResponse.ConnectionAfter;
 import burlarch.router.server.RequestBodyReader;
@@ -33,6 +34,9 @@
     /** Retry-After, in seconds, if another router can take the request at once. */
     private static final String RETRY_ELSEWHERE = "0.02";
 
+    /** How much earlier than its client gives up a request ends that waits for the first configuration. */
+    private static final long CLIENT_WAIT_MARGIN_MILLIS = 50;
+
     private final ForwardingContext context;
     private final Request request;
     private final ClientResponse response;
@@ -93,7 +97,13 @@
         request.addIdleTimeoutListener(timeout -> false);
         request.addFailureListener(cause -> serialize(this::onClientDisconnected));
         mayHaveWaited = !context.startupGate().isOpen();
-        context.startupGate().pass(() -> serialize(this::readBody));
+        context.startupGate().pass(() -> serialize(this::readBody), clientWaitMillis());
+    }
+
+    /** How long the client waits by its own word, less the time that the response takes; long if it does not say. */
+    private long clientWaitMillis() {
+        long millis = Headers.parseNumber(request.getHeaders().get(Headers.DEADLINE), Long.MAX_VALUE);
+        return millis - CLIENT_WAIT_MARGIN_MILLIS;
     }
 
     private void readBody() {
--- a/router/src/main/java/burlarch/router/lifecycle/StartupGate.java
+++ b/router/src/main/java/burlarch/router/lifecycle/StartupGate.java
@@ -32,6 +32,15 @@
      * once if the gate is open or full.
      */
     public void pass(Runnable request) {
+        pass(request, MAX_WAIT_MILLIS);
+    }
+
+    /**
+     * As {@link #pass(Runnable)}, for a request whose client waits no longer than that.
+     *
+     * @param clientMillis how long the client waits; the request waits at most for that
+     */
+    public void pass(Runnable request, long clientMillis) {
         if (!enqueue(request)) {
             request.run();
             return;
@@ -42,7 +51,7 @@
                         request.run();
                     }
                 },
-                MAX_WAIT_MILLIS,
+                Math.max(0, Math.min(MAX_WAIT_MILLIS, clientMillis)),
                 TimeUnit.MILLISECONDS);
     }
 
--- a/router/src/main/java/burlarch/router/upstream/ResponseReader.java
+++ b/router/src/main/java/burlarch/router/upstream/ResponseReader.java
@@ -29,6 +29,8 @@
     private final InputBufferPool buffers;
     private final ResponseParser parser;
     private ByteBuffer input;
+    /** Whether any byte was received since {@link #begin}. */
+    private volatile boolean received;
 
     ResponseReader(EndPoint endPoint, InputBufferPool buffers, ResponseParser.HeadListener heads) {
         this.endPoint = endPoint;
@@ -38,9 +40,15 @@
 
     /** The next bytes belong to the response to that call. */
     void begin(UpstreamCall call) {
+        received = false;
         parser.begin(call.isHeadMethod());
     }
 
+    /** Whether any byte of the response to the present call was received. */
+    boolean hasReceived() {
+        return received;
+    }
+
     /** Parses up to content, the end of the response, a failure or the end of the bytes. */
     Progress parse() {
         if (input == null) {
@@ -70,6 +78,7 @@
             releaseInput();
             return false;
         }
+        received |= filled > 0;
         if (filled < 0) {
             parser.onEndOfInput();
         }
--- a/router/src/main/java/burlarch/router/upstream/UpstreamConnection.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamConnection.java
@@ -28,6 +28,8 @@
             Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onReadFailed);
     private UpstreamConnectionState state = UpstreamConnectionState.IDLE;
     private UpstreamCall call;
+    /** How long it was idle before the call in flight; negative if that is its first. */
+    private long idleNanosBeforeCall = -1;
 
     UpstreamConnection(EndPoint endPoint, UpstreamConnectionPool pool, String address, InputBufferPool buffers) {
         super(endPoint, pool.executor());
@@ -50,6 +52,11 @@
         getEndPoint().fillInterested(fillable);
     }
 
+    /** It is taken from the pool after having been idle for so long. */
+    synchronized void onTaken(long idleNanos) {
+        idleNanosBeforeCall = idleNanos;
+    }
+
     /**
      * Sends a call, unless the peer has closed the connection or sent bytes that no request asked for. A call
      * that was cancelled before leaves the connection idle.
@@ -74,6 +81,7 @@
             }
         }
         if (unusable) {
+            learnEarlyClose();
             getEndPoint().close();
         } else if (started) {
             getEndPoint()
@@ -89,6 +97,13 @@
         return !unusable;
     }
 
+    /** The peer closed the connection while it was idle, as far as can be told. */
+    private void learnEarlyClose() {
+        if (idleNanosBeforeCall >= 0) {
+            pool.onClosedByPeer(this, idleNanosBeforeCall);
+        }
+    }
+
     /** Whether the peer has closed the connection, or sent bytes that no request asked for. */
     private boolean isClosedOrHasInput() {
         if (!getEndPoint().isOpen()) {
@@ -253,6 +268,9 @@
             sent = state.sendState();
             ended = closeAndTakeCall();
         }
+        if (ended != null && !reader.hasReceived()) {
+            learnEarlyClose();
+        }
         fail(ended, sent, cause);
     }
 
--- a/router/src/test/java/burlarch/router/lifecycle/StartupGateTest.java
+++ b/router/src/test/java/burlarch/router/lifecycle/StartupGateTest.java
@@ -4,6 +4,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.junit.jupiter.api.Test;
@@ -44,6 +47,25 @@
         }
     }
 
+    /** Its client would give up before the gate's own time is over. */
+    @Test
+    void aRequestWaitsNoLongerThanItsClient() throws Exception {
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("gate", true);
+        scheduler.start();
+        try {
+            StartupGate gate = new StartupGate(scheduler);
+            BlockingQueue<String> passed = new LinkedBlockingQueue<>();
+            gate.pass(() -> passed.add("patient"), Long.MAX_VALUE);
+            gate.pass(() -> passed.add("impatient"), 20);
+            gate.pass(() -> passed.add("late"), -5);
+            assertThat(passed.poll(5, TimeUnit.SECONDS)).isEqualTo("late");
+            assertThat(passed.poll(5, TimeUnit.SECONDS)).isEqualTo("impatient");
+            assertThat(passed.poll(5, TimeUnit.SECONDS)).isEqualTo("patient");
+        } finally {
+            scheduler.stop();
+        }
+    }
+
     private static final class Counting implements Runnable {
         private final AtomicInteger count;
 
--- a/simulation/src/main/java/burlarch/simulation/transport/SimulatedPeerConnections.java
+++ b/simulation/src/main/java/burlarch/simulation/transport/SimulatedPeerConnections.java
@@ -188,12 +188,15 @@
         return connection;
     }
 
-    /** Hands a message, or the frame of one, to the listener. The first message of a connection makes it usable. */
+    /** Hands a message, or the frame of one, to the listener. The first message of a connection makes it usable; one
+     * that is no Hello ends it, as in service. */
     void deliver(SimulatedPeerConnection connection, Object body) {
         try {
             NodeMessage message = body instanceof byte[] frame ? decode(frame) : (NodeMessage) body;
             if (message instanceof NodeMessage.Hello peer) {
                 onHello(connection, peer);
+            } else if (connection.peerHello() == null) {
+                close(connection);
             } else if (!(message instanceof NodeMessage.Ping)) {
                 connection.receivedOrder().accept(message);
                 listener.onMessage(connection, message);
--- a/transport/src/main/java/burlarch/transport/OutboundConnector.java
+++ b/transport/src/main/java/burlarch/transport/OutboundConnector.java
@@ -101,7 +101,8 @@
             if (connectingChannel.finishConnect()) {
                 onChannelConnected();
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
+            Logger.debug(e, "connect failed: peer={}", address);
             retryLater();
         }
     }
