--- a/controller/src/main/java/burlarch/controller/register/AcceptorDiskMonitor.java
+++ b/controller/src/main/java/burlarch/controller/register/AcceptorDiskMonitor.java
@@ -19,7 +19,8 @@
  * <tr><td>RECOVERING</td><td>{@value #RETURN_AFTER_NANOS} ns have passed</td><td>USABLE</td></tr>
  * </table>
  *
- * <p>Invariant <em>no flapping</em>: between two ends of abstaining lies at least the time of RECOVERING, so that a disk
+ * <p>Invariant <em>no flapping</em>: between two ends of abstaining lies at least the time of RECOVERING, so
+ * that a disk
  * which fails by turns is replaced once.
  */
 final class AcceptorDiskMonitor {
--- a/controller/src/main/java/burlarch/controller/register/LocalAcceptor.java
+++ b/controller/src/main/java/burlarch/controller/register/LocalAcceptor.java
@@ -73,7 +73,8 @@
     }
 
     /**
-     * Stores the acceptors of a chosen value on the disk. If that fails now, the next chosen value stores them. Called on
+     * Stores the acceptors of a chosen value on the disk. If that fails now, the next chosen value stores them.
+     * Called on
      * the event loop.
      */
     void storeAcceptorSet(RegisterView chosen) {
--- a/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
+++ b/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
@@ -163,7 +163,8 @@
     }
 
     /**
-     * Cancels the attempt in flight, if there is one: the exchange has failed itself. The planner is told of its end, as
+     * Cancels the attempt in flight, if there is one: the exchange has failed itself. The planner is told of its
+     * end, as
      * of each attempt's; if that fails too, nothing more can be done for it.
      */
     void discardCurrent() {
--- a/router/src/main/java/burlarch/router/upstream/IdleLifetimes.java
+++ b/router/src/main/java/burlarch/router/upstream/IdleLifetimes.java
@@ -9,7 +9,8 @@
  * twice is lost with it; therefore connections aren't used once they have been idle for about as long as one that was
  * closed.
  *
- * <p>The limit of an address falls to a fraction of the shortest time that was seen, and doubles for each period without
+ * <p>The limit of an address falls to a fraction of the shortest time that was seen, and doubles for each
+ * period without
  * another early close until it no longer matters. May be called on any thread; guarded by this.
  */
 final class IdleLifetimes {
--- a/storage/src/main/java/burlarch/storage/AcceptorStore.java
+++ b/storage/src/main/java/burlarch/storage/AcceptorStore.java
@@ -18,8 +18,8 @@
  * <p><b>Memory follows the disk.</b> If a save fails, the store still holds the state before it and can be used on. The
  * outcome on the disk is open: a restart may find either state.
  *
- * <p><b>One damaged copy is repaired.</b> Each record is written twice with one sync. So damage to one place of the disk,
- * the newest record included, never makes an acceptor vote without what it has promised or accepted.
+ * <p><b>One damaged copy is repaired.</b> Each record is written twice with one sync. So damage to one place of the
+ * disk, the newest record included, never makes an acceptor vote without what it has promised or accepted.
  *
  * <p><b>Identity.</b> An empty disk gets a new identity, which is durable before anyone sees it. A disk that once held
  * records is never taken for an empty one ({@link DamagedLogException}): it would come back under its old identity
--- a/storage/src/main/java/burlarch/storage/SegmentScanner.java
+++ b/storage/src/main/java/burlarch/storage/SegmentScanner.java
@@ -146,7 +146,7 @@
                 && gapBytes == lastSizeBytes;
     }
 
-    /** Whether the gap holds a record of which {@code next} is the copy, and before it at most a copy of the last one. */
+    /** Whether the gap holds the record of which {@code next} is the copy, and at most a copy of the last one. */
     private boolean isRepairedByCopy(int gapBytes, SegmentRecord next) {
         if (readableBytes == 0) {
             return next.kind() == SegmentRecord.SNAPSHOT_COPY && gapBytes == next.sizeBytes();
