--- a/coordination/src/main/java/burlarch/coordination/register/Acceptor.java
+++ b/coordination/src/main/java/burlarch/coordination/register/Acceptor.java
@@ -54,8 +54,8 @@
         if (number.compareTo(state.prepared()) < 0) {
             return AcceptorTransition.unchanged(state, rejection(request));
         }
-        RegisterMessage response =
-                new PrepareResponse(request.callId(), storageId, true, number, state.accepted(), state.value());
+        RegisterMessage response = new PrepareResponse(
+                request.callId(), storageId, true, number, state.accepted(), valueUnknownTo(request));
         if (number.equals(state.prepared())) {
             return AcceptorTransition.unchanged(state, response);
         }
@@ -81,6 +81,15 @@
         state = durable;
     }
 
+    /**
+     * The accepted value, or null when the proposer holds it or a newer one: it then needs the number alone, which
+     * shows that nothing newer was accepted here.
+     */
+    private RegisterValue valueUnknownTo(PrepareRequest request) {
+        boolean isKnown = request.known() != null && state.accepted().compareTo(request.known()) <= 0;
+        return isKnown ? null : state.value();
+    }
+
     private RegisterMessage rejection(PrepareRequest request) {
         return new PrepareResponse(request.callId(), storageId, false, state.prepared(), ProposalNumber.ZERO, null);
     }
--- a/coordination/src/main/java/burlarch/coordination/register/RegisterMessage.java
+++ b/coordination/src/main/java/burlarch/coordination/register/RegisterMessage.java
@@ -10,8 +10,12 @@
     /**
      * Phase one: asks an acceptor to reject lower proposal numbers from now on, and to report what it accepted
      * last.
+     *
+     * @param known proposal number of the newest value that the proposer holds; null when it holds none. Values up to
+     *     that number are reported by their number alone
      */
-    record PrepareRequest(long callId, ProposalNumber proposalNumber) implements RegisterMessage {}
+    record PrepareRequest(long callId, ProposalNumber proposalNumber, ProposalNumber known)
+            implements RegisterMessage {}
 
     /**
      * Response to {@link PrepareRequest}. The Paxos literature calls a granted one a promise.
@@ -22,7 +26,7 @@
      * @param accepted proposal number of {@code value}; {@link ProposalNumber#ZERO} when nothing was accepted
      *     yet or the request was rejected
      * @param value the value that the acceptor accepted last; null when {@code accepted} is
-     *     {@link ProposalNumber#ZERO}
+     *     {@link ProposalNumber#ZERO}, or not above the number that the proposer knows
      */
     record PrepareResponse(
             long callId,
--- a/coordination/src/main/java/burlarch/coordination/register/proposal/PrepareTally.java
+++ b/coordination/src/main/java/burlarch/coordination/register/proposal/PrepareTally.java
@@ -33,10 +33,17 @@
         newestNumber = newestValue == null ? ProposalNumber.ZERO : view.proposalNumber();
     }
 
-    /** Counts a granted response. */
+    /**
+     * Counts a granted response. One that reports a newer value without the value itself proves nothing and does not
+     * count; no acceptor sends such a response to a request of this attempt.
+     */
     void add(PrepareResponse response) {
+        boolean isNewer = response.accepted().compareTo(newestNumber) > 0;
+        if (isNewer && response.value() == null) {
+            return;
+        }
         acceptedByStorageId.put(response.storageId(), response.accepted());
-        if (response.accepted().compareTo(newestNumber) > 0) {
+        if (isNewer) {
             newestNumber = response.accepted();
             newestValue = response.value();
             acceptors = AcceptorSet.of(newestValue.members());
--- a/coordination/src/main/java/burlarch/coordination/register/proposal/Proposal.java
+++ b/coordination/src/main/java/burlarch/coordination/register/proposal/Proposal.java
@@ -76,6 +76,10 @@
  *       below c; it is then not in the quorum that chose b. Both contradict the supposition.
  * </ol>
  *
+ * <p>Of a value that is not newer than the one that an attempt began with, the proof uses the number alone: step 4
+ * needs that an acceptor reports b or a newer value to an attempt that would write on an older one. So acceptors need
+ * not send values up to the number that the prepare request names ({@link PrepareRequest#known}).
+ *
  * <p>The proof does not depend on how many acceptors change at once, on who is known to be lost, or on how old
  * a proposer's view is. That sets change one at a time keeps the quorums small.
  *
@@ -203,8 +207,9 @@
         state = state.after(cause);
         number = new ProposalNumber(++highestTerm, name);
         prepares = new PrepareTally(view);
+        ProposalNumber known = prepares.newestValue() == null ? null : prepares.newestNumber();
         exchange.begin(
-                callId -> new PrepareRequest(callId, number),
+                callId -> new PrepareRequest(callId, number, known),
                 prepares.acceptors().votingMembers());
         wakeAt(nowNanos + exchange.resendIntervalNanos());
     }
--- a/routing/src/main/java/burlarch/routing/instance/Engine.java
+++ b/routing/src/main/java/burlarch/routing/instance/Engine.java
@@ -12,6 +12,10 @@
  * One incarnation of an instance, a model engine or a plain server, as this router sees it: what it last
  * announced, and the estimates that the router has made of it.
  *
+ * <p>Invariant <em>clean source</em>: an engine that was seen to load other weights is no source of KV transfers until
+ * its newer version is known ({@link #holdsCleanCache}). Requests that it retained while it loaded have computed a
+ * part of their prompts under the new weights, but cached it under the old salt.
+ *
  * <p>Invariant <em>versions only rise</em>: the weights version of a model never decreases by what responses
  * say, which may arrive late; only {@link #distrustVersion} returns to what the instance announced.
  */
@@ -26,6 +30,9 @@
     private final PrefillLoadEstimate prefillLoad = new PrefillLoadEstimate();
     private final KvTransferSpeed transferSpeed = new KvTransferSpeed();
     private final Map<String, Long> versions = new HashMap<>(2);
+    /** The version of each model that the engine had when it was last seen to load. */
+    private final Map<String, Long> versionsWhenLoading = new HashMap<>(2);
+
     private Instance instance;
     private int subsetDistance;
 
@@ -84,6 +91,21 @@
         if (announced.capacity() > 0) {
             load.setSlots(announced.capacity());
         }
+        if (announced.state() == InstanceState.LOADING && announced.models() != null) {
+            for (ServedModel model : announced.models()) {
+                versionsWhenLoading.put(model.name(), Math.max(version(model.name()), model.version()));
+            }
+        }
+    }
+
+    /** The version of the model's weights that it had when it was last seen to load others, 0 if it was not seen to. */
+    public long versionWhenLoading(String model) {
+        return versionsWhenLoading.getOrDefault(model, 0L);
+    }
+
+    /** Whether all that it caches of the model under its known version's salt was computed under that version. */
+    public boolean holdsCleanCache(String model) {
+        return version(model) > versionWhenLoading(model);
     }
 
     /** How many subsets lie between the own one of this router and that of the engine; 0 for the own subset. */
--- a/routing/src/main/java/burlarch/routing/planner/KvTransferPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/KvTransferPlanner.java
@@ -95,15 +95,15 @@
         long saltHash = salts.hash(choice.engine());
         if (request.totalPromptTokens() - choice.cachedTokens() < CostModel.MIN_TRANSFER_TOKENS
                 || segments.isEmpty()
-                || salts.isSuperseded(choice.engine())
                 || choice.engine().version(request.model()) == 0) {
             return null;
         }
         long targetLeftNanos = request.latencyTargetLeftNanos(nowNanos);
         List<Engine> engines = service.engines();
+        boolean superseded = salts.isSuperseded(choice.engine());
         TransferSource best = null;
         double bestGainNanos = 0;
-        for (int i = 0; i < stores.size() + engines.size(); i++) {
+        for (int i = superseded ? stores.size() : 0; i < stores.size() + engines.size(); i++) {
             TransferSource source = i < stores.size()
                     ? fromStore(stores.get(i), service, choice, saltHash, segments, nowNanos)
                     : fromEngine(engines.get(i - stores.size()), service, choice, saltHash, request, nowNanos);
@@ -119,7 +119,7 @@
                 bestGainNanos = gainNanos;
             }
         }
-        return best == null ? storeToProbe(request, nowNanos) : best;
+        return best == null && !superseded ? storeToProbe(request, nowNanos) : best;
     }
 
     /** A store that may just have saved the segments, or whose events were lost; a miss there costs little. */
@@ -169,6 +169,7 @@
             long nowNanos) {
         if (engine == choice.engine()
                 || engine.health().isOutlier()
+                || !engine.holdsCleanCache(request.model())
                 || engine.version(request.model()) != choice.engine().version(request.model())) {
             return null;
         }
--- a/routing/src/main/java/burlarch/routing/planner/PromptScheduler.java
+++ b/routing/src/main/java/burlarch/routing/planner/PromptScheduler.java
@@ -69,12 +69,8 @@
         }
         int known = lookUpKnownTokens(candidates, salts, segments, nowNanos);
         for (int i = 0; i < size; i++) {
-            boolean superseded = salts.isSuperseded(candidates.get(i));
-            if (superseded) {
-                transferableTokens[i] = 0;
-            }
             estimateCost(request, service, candidates.get(i), i, nowNanos);
-            if (superseded) {
+            if (salts.isSuperseded(candidates.get(i))) {
                 costs[i] += CostModel.SUPERSEDED_WEIGHTS_NANOS;
                 costsWithoutTransfer[i] += CostModel.SUPERSEDED_WEIGHTS_NANOS;
             }
@@ -106,7 +102,7 @@
         for (int i = 0; i < size; i++) {
             saltHashes[i] = salts.hash(candidates.get(i));
             int first = firstOfSameSalt(i);
-            if (first == i) {
+            if (first == i && !salts.isSuperseded(candidates.get(i))) {
                 transferableTokens[i] = transfers.storedPrefixTokens(saltHashes[i], segments, nowNanos);
             }
             int confirmed = cachedTokens[i] == 0
--- a/routing/src/main/java/burlarch/routing/planner/RequestCacheSalt.java
+++ b/routing/src/main/java/burlarch/routing/planner/RequestCacheSalt.java
@@ -9,10 +9,11 @@
  * The cache salt of the current request at each engine. Most engines have the same weights version and thus
  * the same salt; it is recomputed only when the version differs from the one asked for before.
  *
- * <p>Invariant <em>no transfer of superseded weights</em>: what is cached under the salt of a superseded version is
- * neither fetched from elsewhere nor saved to a store. A request that an engine retains while it loads new weights
- * computes the rest of its prompt under these, yet caches it under the salt that it was sent with; transferred to an
- * engine that still has the old weights, it would be memory of another version.
+ * <p>Invariant <em>no store for superseded weights</em>: under the salt of a superseded version nothing is fetched
+ * from a store or saved to one. A request that an engine retains while it loads new weights computes the rest of its
+ * prompt under these, yet caches and saves it under the salt that it was sent with; fetched by an engine that still
+ * has the old weights, it would be memory of another version. For transfers between engines see {@link
+ * Engine#holdsCleanCache}.
  */
 final class RequestCacheSalt {
     private static final long NOT_COMPUTED = -1;
--- a/routing/src/main/java/burlarch/routing/planner/ServiceState.java
+++ b/routing/src/main/java/burlarch/routing/planner/ServiceState.java
@@ -1,7 +1,6 @@
 package burlarch.routing.planner;
 
 import burlarch.configuration.Configuration.Service;
-import burlarch.coordination.registry.InstanceState;
 import burlarch.routing.admission.FetchAdmission;
 import burlarch.routing.admission.RetryBudget;
 import burlarch.routing.admission.UrgencyExchange;
@@ -131,16 +130,13 @@
 
     /**
      * The newest weights version that is being replaced by a newer one: versions up to it are superseded. A newer
-     * version was seen, or an engine with that version loads another. 0 if none is known to be replaced.
+     * version was seen, or an engine with that version was seen to load another. 0 if none is known to be replaced.
      */
     long newestSupersededVersion(String model) {
         SeenVersion seen = newestVersions.get(model);
         long superseded = seen == null ? 0 : seen.version() - 1;
         for (int i = 0; i < engines.size(); i++) {
-            Engine engine = engines.get(i);
-            if (engine.instance().state() == InstanceState.LOADING) {
-                superseded = Math.max(superseded, engine.version(model));
-            }
+            superseded = Math.max(superseded, engines.get(i).versionWhenLoading(model));
         }
         return superseded;
     }
--- a/routing/src/test/java/burlarch/routing/planner/SupersededWeightsTest.java
+++ b/routing/src/test/java/burlarch/routing/planner/SupersededWeightsTest.java
@@ -39,6 +39,37 @@
         assertThat(send.kvFetch()).isNull();
     }
 
+    /** Its announcement may come before the version that it has loaded is known. */
+    @Test
+    void nothingIsFetchedFromAnEngineThatHasLoadedUntilItsVersionIsKnown() {
+        planner.onInstances(List.of(OLD, OTHER), 0);
+        RouteRequest request = Fixture.review(1, 0);
+        cacheAt("other", request);
+        planner.onInstances(List.of(OLD, OTHER_LOADS), Fixture.MILLI);
+        planner.onInstances(List.of(OLD, OTHER), 2 * Fixture.MILLI);
+        // Another router's requests keep it busy, so that the other engine is chosen.
+        for (int i = 0; i < 40; i++) {
+            Placement.Send send = Fixture.send(planner, Fixture.review(1, 0), 0, 3 * Fixture.MILLI);
+            if (send.instance().id().equals("old")) {
+                assertThat(send.kvFetch()).isNull();
+            }
+        }
+    }
+
+    @Test
+    void enginesThatHaveNotLoadedFetchFromOneAnother() {
+        Instance third = Fixture.engine("third", 1);
+        planner.onInstances(List.of(OLD, OTHER_LOADS, third), 0);
+        RouteRequest request = Fixture.review(1, 0);
+        cacheAt("third", request);
+        boolean fetched = false;
+        for (int i = 0; i < 60 && !fetched; i++) {
+            Placement.Send send = Fixture.send(planner, Fixture.review(1, 0), 0, Fixture.MILLI);
+            fetched = "third:80".equals(send.kvFetch());
+        }
+        assertThat(fetched).isTrue();
+    }
+
     @Test
     void nothingIsFetchedFromAStoreUnderSupersededWeights() {
         planner.onInstances(List.of(OLD), 0);
--- a/simulation/src/main/java/burlarch/simulation/coordination/fault/FaultKind.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/fault/FaultKind.java
@@ -227,6 +227,10 @@
             Loss.ALL_CONTROLLERS,
             (steps, at, length) -> steps.addLasting(at, length, "delay 0.01 " + steps.drawFigure(0.02, 0.32))),
     DUPLICATES("(duplicates)", Loss.NONE, (steps, at, length) -> steps.addLasting(at, length, "duplicate 0.2")),
+    QUOTA(
+            "(processor quota of all)",
+            Loss.ALL_CONTROLLERS,
+            (steps, at, length) -> steps.addLasting(at, length, "slow core-*,router-*")),
     CLOSING_POWER(
             "closing power_off_all", Loss.CLOSING, (steps, at, length) -> steps.addClosing(at, "", "power core-*")),
     CLOSING_KILL("closing kill_all", Loss.CLOSING, (steps, at, length) -> steps.addClosing(at, "", "kill core-*")),
@@ -262,7 +266,15 @@
             "closing wipe_after_ack taken, power",
             Loss.CLOSING_DISK,
             (steps, at, length) -> steps.addClosing(
-                    at, "when taken 0 ", "power core-*", "wipe " + steps.controllersLosingDisks("@leader")));
+                    at, "when taken 0 ", "power core-*", "wipe " + steps.controllersLosingDisks("@leader"))),
+    CLOSING_WIPE_POWER_ALL(
+            "closing wipe_after_ack, power of all machines",
+            Loss.CLOSING_DISK,
+            (steps, at, length) -> steps.addClosing(
+                    at,
+                    "when acknowledged 0 ",
+                    "power core-*,router-*",
+                    "wipe " + steps.controllersLosingDisks("@oldest")));
 
     /** What a fault costs of the losses that the deployment tolerates. */
     enum Loss {
--- a/simulation/src/test/java/burlarch/simulation/coordination/CoordinationSearchTest.java
+++ b/simulation/src/test/java/burlarch/simulation/coordination/CoordinationSearchTest.java
@@ -40,6 +40,7 @@
     @ValueSource(
             strings = {
                 "lease-between-holders",
+                "quota-everywhere",
                 "acknowledged-by-one-that-just-started",
                 "two-removed-stay-acceptors",
                 "wiped-wiped-power-off",
--- a/transport/src/main/java/burlarch/transport/WireFieldNames.java
+++ b/transport/src/main/java/burlarch/transport/WireFieldNames.java
@@ -6,7 +6,10 @@
 import burlarch.coordination.register.acceptorset.AcceptorMember;
 import burlarch.coordination.registry.Instance;
 import burlarch.coordination.registry.InstanceState;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -76,6 +79,12 @@
 
         @JsonProperty("ballot")
         ProposalNumber proposalNumber();
+
+        /** Absent for a proposer that holds no value, and from the release before. */
+        @JsonProperty("known")
+        @JsonInclude(JsonInclude.Include.NON_NULL)
+        @JsonSetter(nulls = Nulls.SET)
+        ProposalNumber known();
     }
 
     private interface PrepareResponseNames {
