--- a/controller/src/main/java/burlarch/controller/register/RegisterStorage.java
+++ b/controller/src/main/java/burlarch/controller/register/RegisterStorage.java
@@ -11,7 +11,7 @@
 import burlarch.storage.SegmentedLog;
 import java.io.IOException;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -77,9 +77,13 @@
             Supplier<String> newIdentity,
             long segmentBytes)
             throws IOException {
-        AcceptorStore store =
-                AcceptorStore.open(disk, () -> bootstrap ? firstIdentity(address) : newIdentity.get(), segmentBytes);
-        RegisterView first = RegisterView.ofInitialAcceptors(firstMembers(store, seeds, bootstrap));
+        // Together, so that no end of the process between two writes leaves an acceptor that knows no others.
+        AcceptorStore store = AcceptorStore.open(
+                disk,
+                () -> bootstrap ? firstIdentity(address) : newIdentity.get(),
+                bootstrap ? Map.of(FIRST_MEMBERS, encodeMembers(seeds)) : Map.of(),
+                segmentBytes);
+        RegisterView first = RegisterView.ofInitialAcceptors(firstMembers(store));
         RegisterView newest = first.newerOf(StoredAcceptorSet.load(store)).newerOf(RegisterView.of(store.state()));
         return new RegisterStorage(store, newest);
     }
@@ -88,14 +92,14 @@
         return "first-" + address;
     }
 
-    private static List<AcceptorMember> firstMembers(AcceptorStore store, List<String> seeds, boolean bootstrap)
-            throws IOException {
-        Optional<byte[]> stored = store.namedValue(FIRST_MEMBERS);
-        if (stored.isEmpty() && bootstrap) {
-            stored = Optional.of(String.join("\n", seeds).getBytes(UTF_8));
-            store.saveNamedValue(FIRST_MEMBERS, stored.get());
-        }
-        return stored.map(RegisterStorage::parseMembers).orElse(List.of());
+    private static List<AcceptorMember> firstMembers(AcceptorStore store) {
+        return store.namedValue(FIRST_MEMBERS)
+                .map(RegisterStorage::parseMembers)
+                .orElse(List.of());
+    }
+
+    private static byte[] encodeMembers(List<String> addresses) {
+        return String.join("\n", addresses).getBytes(UTF_8);
     }
 
     private static List<AcceptorMember> parseMembers(byte[] addresses) {
--- a/routing/src/main/java/burlarch/routing/instance/Engine.java
+++ b/routing/src/main/java/burlarch/routing/instance/Engine.java
@@ -30,7 +30,10 @@
     private final PrefillLoadEstimate prefillLoad = new PrefillLoadEstimate();
     private final KvTransferSpeed transferSpeed = new KvTransferSpeed();
     private final Map<String, Long> versions = new HashMap<>(2);
-    /** The version of each model that the engine had when it was last seen to load. */
+    /**
+     * The version of each model that the engine had when it was last seen to begin to load. While it counts as loading
+     * it may announce the new version already.
+     */
     private final Map<String, Long> versionsWhenLoading = new HashMap<>(2);
 
     private Instance instance;
@@ -87,18 +90,20 @@
 
     /** Applies a new announcement of the same instance. */
     public void update(Instance announced) {
+        boolean beginsToLoad = announced.state() == InstanceState.LOADING
+                && (versionsWhenLoading.isEmpty() || instance.state() != InstanceState.LOADING);
         instance = announced;
         if (announced.capacity() > 0) {
             load.setSlots(announced.capacity());
         }
-        if (announced.state() == InstanceState.LOADING && announced.models() != null) {
+        if (beginsToLoad && announced.models() != null) {
             for (ServedModel model : announced.models()) {
                 versionsWhenLoading.put(model.name(), Math.max(version(model.name()), model.version()));
             }
         }
     }
 
-    /** The version of the model's weights that it had when it was last seen to load others, 0 if it was not seen to. */
+    /** The version of the model's weights that it had when it began to load others, 0 if it was not seen to. */
     public long versionWhenLoading(String model) {
         return versionsWhenLoading.getOrDefault(model, 0L);
     }
--- a/routing/src/test/java/burlarch/routing/planner/SupersededWeightsTest.java
+++ b/routing/src/test/java/burlarch/routing/planner/SupersededWeightsTest.java
@@ -108,6 +108,22 @@
         assertThat(send.kvSave()).isEqualTo(Fixture.STORE);
     }
 
+    /** The mark of loading ends a little after the announcement of the new version. */
+    @Test
+    void weightsThatWereJustLoadedAreNotSuperseded() {
+        planner.onInstances(List.of(OLD, OTHER), 0);
+        planner.onInstances(List.of(OLD, OTHER_LOADS), Fixture.MILLI);
+        Instance loaded = Fixture.instance(
+                "other", "pool", 128, InstanceState.LOADING, List.of(new ServedModel(Fixture.MODEL, 2)));
+        planner.onInstances(List.of(OLD, loaded), 2 * Fixture.MILLI);
+        planner.onInstances(List.of(OTHER_IS_NEW), 3 * Fixture.MILLI);
+
+        Placement.Send send = Fixture.send(planner, Fixture.review(1, 0), 0, 4 * Fixture.MILLI);
+
+        assertThat(send.expectVersion()).isEqualTo(2);
+        assertThat(send.kvSave()).isEqualTo(Fixture.STORE);
+    }
+
     /** Prompts without cached segments cost as much at each engine, so that the weights decide. */
     @Test
     void anEngineWithNewWeightsIsPreferredFromTheMomentItIsKnown() {
--- a/storage/src/main/java/burlarch/storage/AcceptorStore.java
+++ b/storage/src/main/java/burlarch/storage/AcceptorStore.java
@@ -4,6 +4,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -35,7 +36,7 @@
     /** The longest named value. */
     public static final int MAX_NAMED_VALUE_BYTES = 64 * 1024;
 
-    /** The first snapshot holds an identity and nothing else. */
+    /** The first snapshot holds an identity and the first named values, which are short. */
     private static final int MAX_FIRST_SNAPSHOT_BYTES = 512;
 
     private final SegmentedLog log;
@@ -61,9 +62,20 @@
      * @throws IOException if the disk cannot be read or synced; opening may be tried again
      */
     public static AcceptorStore open(Disk disk, Supplier<String> newIdentity, long segmentBytes) throws IOException {
+        return open(disk, newIdentity, Map.of(), segmentBytes);
+    }
+
+    /**
+     * Opens the store of a disk, as the shorter form does.
+     *
+     * @param firstNamedValues named values of a disk that is empty: they become durable together with its identity
+     */
+    public static AcceptorStore open(
+            Disk disk, Supplier<String> newIdentity, Map<String, byte[]> firstNamedValues, long segmentBytes)
+            throws IOException {
         AcceptorStore store = new AcceptorStore(SegmentedLog.open(disk, segmentBytes, Redundancy.MIRRORED));
         try {
-            store.load(newIdentity);
+            store.load(newIdentity, firstNamedValues);
             return store;
         } catch (IOException e) {
             store.close();
@@ -140,9 +152,9 @@
         log.close();
     }
 
-    private void load(Supplier<String> newIdentity) throws IOException {
+    private void load(Supplier<String> newIdentity, Map<String, byte[]> firstNamedValues) throws IOException {
         if (log.isEmpty()) {
-            createIdentity(newIdentity);
+            createIdentity(newIdentity, firstNamedValues);
             return;
         }
         for (byte[] record : log.takeRecoveredRecords()) {
@@ -150,9 +162,10 @@
         }
     }
 
-    private void createIdentity(Supplier<String> newIdentity) throws IOException {
+    private void createIdentity(Supplier<String> newIdentity, Map<String, byte[]> firstNamedValues) throws IOException {
         log.requireNeverUsed(MAX_FIRST_SNAPSHOT_BYTES);
         contents.identity = newIdentity.get();
+        contents.namedValues.putAll(firstNamedValues);
         log.replaceWithSnapshot(AcceptorRecordCodec.encodeSnapshot(contents));
         isNewlyCreated = true;
     }
--- a/storage/src/test/java/burlarch/storage/AcceptorStoreCrashTest.java
+++ b/storage/src/test/java/burlarch/storage/AcceptorStoreCrashTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** The store on a disk that fails at each of its operations in turn: invariant <i>durable before acknowledged</i>. */
@@ -134,4 +135,25 @@
             return true;
         }
     }
+
+    /** An identity of the first start without the named values beside it would know no other acceptor. */
+    @Test
+    void aLossOfPowerAtTheFirstStartLeavesIdentityAndNamedValuesOrNeither() throws IOException {
+        Map<String, byte[]> first = Map.of("members", new byte[] {1, 2, 3});
+        for (int at = 1; at <= 8; at++) {
+            for (long seed = 1; seed <= 20; seed++) {
+                FaultInjectingDisk disk = new FaultInjectingDisk(seed);
+                disk.losePowerAtOperation = at;
+                try {
+                    AcceptorStore.open(disk, () -> "first", first, AcceptorStoreScenario.SEGMENT_BYTES);
+                } catch (FaultInjectingDisk.PowerLoss lost) {
+                    disk = disk.afterPowerLoss();
+                }
+                disk.losePowerAtOperation = 0;
+                AcceptorStore store = AcceptorStore.open(disk, () -> "later", AcceptorStoreScenario.SEGMENT_BYTES);
+                assertThat(store.namedValue("members").isPresent())
+                        .isEqualTo(store.identity().equals("first"));
+            }
+        }
+    }
 }
