--- a/routing/src/main/java/burlarch/routing/instance/Engine.java
+++ b/routing/src/main/java/burlarch/routing/instance/Engine.java
@@ -21,6 +21,13 @@
  */
 public final class Engine {
     private static final double FREE_PREFILL_LOAD = 0.5;
+    /**
+     * The mark of loading ends so much later than the new version is announced, at most: by then it says nothing of a
+     * further load.
+     */
+    private static final long MARK_LAG_NANOS = 1_000_000_000L;
+
+    private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
 
     private final String id;
     private final long idHash;
@@ -30,12 +37,10 @@
     private final PrefillLoadEstimate prefillLoad = new PrefillLoadEstimate();
     private final KvTransferSpeed transferSpeed = new KvTransferSpeed();
     private final Map<String, Long> versions = new HashMap<>(2);
-    /**
-     * The version of each model that the engine had when it was last seen to begin to load. While it counts as loading
-     * it may announce the new version already.
-     */
+    /** The version of each model that the engine had when it was last seen to load others. */
     private final Map<String, Long> versionsWhenLoading = new HashMap<>(2);
 
+    private long versionRoseNanos = NEVER_NANOS;
     private Instance instance;
     private int subsetDistance;
 
@@ -89,20 +94,23 @@
     }
 
     /** Applies a new announcement of the same instance. */
-    public void update(Instance announced) {
-        boolean beginsToLoad = announced.state() == InstanceState.LOADING
-                && (versionsWhenLoading.isEmpty() || instance.state() != InstanceState.LOADING);
+    public void update(Instance announced, long nowNanos) {
         instance = announced;
         if (announced.capacity() > 0) {
             load.setSlots(announced.capacity());
         }
-        if (beginsToLoad && announced.models() != null) {
+        if (isLoading() && nowNanos - versionRoseNanos >= MARK_LAG_NANOS && announced.models() != null) {
             for (ServedModel model : announced.models()) {
-                versionsWhenLoading.put(model.name(), Math.max(version(model.name()), model.version()));
+                long known = version(model.name());
+                versionsWhenLoading.put(model.name(), known > 0 ? known : model.version());
             }
         }
     }
 
+    private boolean isLoading() {
+        return instance.state() == InstanceState.LOADING;
+    }
+
     /** The version of the model's weights that it had when it began to load others, 0 if it was not seen to. */
     public long versionWhenLoading(String model) {
         return versionsWhenLoading.getOrDefault(model, 0L);
@@ -110,7 +118,7 @@
 
     /** Whether all that it caches of the model under its known version's salt was computed under that version. */
     public boolean holdsCleanCache(String model) {
-        return version(model) > versionWhenLoading(model);
+        return !isLoading() && version(model) > versionWhenLoading(model);
     }
 
     /** How many subsets lie between the own one of this router and that of the engine; 0 for the own subset. */
@@ -164,11 +172,14 @@
      *
      * @return the version before, 0 if there was none; -1 if the reported one is not newer and was ignored
      */
-    public long onVersion(String model, long version) {
+    public long onVersion(String model, long version, long nowNanos) {
         long before = version(model);
         if (version <= before) {
             return -1;
         }
+        if (before > 0) {
+            versionRoseNanos = nowNanos;
+        }
         versions.put(model, version);
         return before;
     }
--- a/routing/src/main/java/burlarch/routing/planner/FleetState.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetState.java
@@ -108,7 +108,7 @@
         ServiceState service = services.get(instance.service());
         Engine engine = engines.computeIfAbsent(
                 instance.id(), id -> new Engine(instance, service == null ? null : service.speed()));
-        engine.update(instance);
+        engine.update(instance, nowNanos);
         if (service != null) {
             service.engines().add(engine);
             if (service.isModelService()) {
@@ -161,7 +161,7 @@
     }
 
     private void onVersion(Engine engine, String model, long version, long nowNanos) {
-        long before = engine.onVersion(model, version);
+        long before = engine.onVersion(model, version, nowNanos);
         if (before > 0) {
             // An engine that loads new weights discards its cache entries of the old ones.
             index.forgetVersion(engine.id(), CacheSalt.of(model, before, null, engine.id()));
