--- a/routing/src/main/java/burlarch/routing/instance/Engine.java
+++ b/routing/src/main/java/burlarch/routing/instance/Engine.java
@@ -27,6 +27,9 @@
      */
     private static final long MARK_LAG_NANOS = 1_000_000_000L;
 
+    /** Heartbeats and responses tell the version that was loaded well within this time after the load. */
+    private static final long LOADING_MEMORY_NANOS = 3_000_000_000L;
+
     private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
 
     private final String id;
@@ -41,6 +44,7 @@
     private final Map<String, Long> versionsWhenLoading = new HashMap<>(2);
 
     private long versionRoseNanos = NEVER_NANOS;
+    private long lastLoadingNanos = NEVER_NANOS;
     private Instance instance;
     private int subsetDistance;
 
@@ -95,6 +99,9 @@
 
     /** Applies a new announcement of the same instance. */
     public void update(Instance announced, long nowNanos) {
+        if (isLoading() || announced.state() == InstanceState.LOADING) {
+            lastLoadingNanos = nowNanos;
+        }
         instance = announced;
         if (announced.capacity() > 0) {
             load.setSlots(announced.capacity());
@@ -111,14 +118,19 @@
         return instance.state() == InstanceState.LOADING;
     }
 
-    /** The version of the model's weights that it had when it began to load others, 0 if it was not seen to. */
-    public long versionWhenLoading(String model) {
-        return versionsWhenLoading.getOrDefault(model, 0L);
+    /**
+     * The version of the model's weights that it had when it was seen to load others; 0 if it was not seen to, or so
+     * long ago that the newer version would be known by now: then the mark of loading led to nothing, or it was the
+     * new version already that was seen with it.
+     */
+    public long versionWhenLoading(String model, long nowNanos) {
+        boolean recent = isLoading() || nowNanos - lastLoadingNanos < LOADING_MEMORY_NANOS;
+        return recent ? versionsWhenLoading.getOrDefault(model, 0L) : 0;
     }
 
     /** Whether all that it caches of the model under its known version's salt was computed under that version. */
-    public boolean holdsCleanCache(String model) {
-        return !isLoading() && version(model) > versionWhenLoading(model);
+    public boolean holdsCleanCache(String model, long nowNanos) {
+        return !isLoading() && version(model) > versionWhenLoading(model, nowNanos);
     }
 
     /** How many subsets lie between the own one of this router and that of the engine; 0 for the own subset. */
--- a/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/FleetPlanner.java
@@ -146,7 +146,7 @@
 
     private Placement planPrompt(
             RouteRequest request, ServiceState service, List<Engine> usable, int attempt, long nowNanos) {
-        salts.begin(request, service.newestSupersededVersion(request.model()));
+        salts.begin(request, service.newestSupersededVersion(request.model(), nowNanos));
         SchedulingChoice choice =
                 promptScheduler.choose(request, service, usable, salts, fleet.liveRouters(), nowNanos);
         if (attempt == 0 && wouldMissTarget(request, service, choice.predictedNanos(), nowNanos)) {
--- a/routing/src/main/java/burlarch/routing/planner/KvTransferPlanner.java
+++ b/routing/src/main/java/burlarch/routing/planner/KvTransferPlanner.java
@@ -169,7 +169,7 @@
             long nowNanos) {
         if (engine == choice.engine()
                 || engine.health().isOutlier()
-                || !engine.holdsCleanCache(request.model())
+                || !engine.holdsCleanCache(request.model(), nowNanos)
                 || engine.version(request.model()) != choice.engine().version(request.model())) {
             return null;
         }
--- a/routing/src/main/java/burlarch/routing/planner/ServiceState.java
+++ b/routing/src/main/java/burlarch/routing/planner/ServiceState.java
@@ -130,13 +130,14 @@
 
     /**
      * The newest weights version that is being replaced by a newer one: versions up to it are superseded. A newer
-     * version was seen, or an engine with that version was seen to load another. 0 if none is known to be replaced.
+     * version was seen, or an engine with that version was lately seen to load another. 0 if none is known to be
+     * replaced.
      */
-    long newestSupersededVersion(String model) {
+    long newestSupersededVersion(String model, long nowNanos) {
         SeenVersion seen = newestVersions.get(model);
         long superseded = seen == null ? 0 : seen.version() - 1;
         for (int i = 0; i < engines.size(); i++) {
-            superseded = Math.max(superseded, engines.get(i).versionWhenLoading(model));
+            superseded = Math.max(superseded, engines.get(i).versionWhenLoading(model, nowNanos));
         }
         return superseded;
     }
--- a/routing/src/test/java/burlarch/routing/planner/SupersededWeightsTest.java
+++ b/routing/src/test/java/burlarch/routing/planner/SupersededWeightsTest.java
@@ -108,6 +108,20 @@
         assertThat(send.kvSave()).isEqualTo(Fixture.STORE);
     }
 
+    /** A router that starts meanwhile may see the new version with the mark, and a mark may lead to nothing. */
+    @Test
+    void aMarkOfLoadingThatNoNewerVersionFollowsIsForgotten() {
+        planner.onInstances(List.of(OLD, OTHER_LOADS), 0);
+        planner.onInstances(List.of(OLD, OTHER), Fixture.SECOND);
+        assertThat(Fixture.send(planner, Fixture.review(1, 0), 0, 2 * Fixture.SECOND)
+                        .kvSave())
+                .isNull();
+
+        assertThat(Fixture.send(planner, Fixture.review(2, 0), 0, 5 * Fixture.SECOND)
+                        .kvSave())
+                .isEqualTo(Fixture.STORE);
+    }
+
     /** The mark of loading ends a little after the announcement of the new version. */
     @Test
     void weightsThatWereJustLoadedAreNotSuperseded() {
