--- a/review/standins/burlarch/review/Deployment.java
+++ b/review/standins/burlarch/review/Deployment.java
@@ -174,12 +174,15 @@
                 + "fencing = true\nlease_ms = 3000\nthaw_ms = 300\nversion_ms = 8000\nversion_all_ms = 11000\n";
     }
 
-    /** Ends all processes and removes the temporary folder. */
+    /** Ends all processes and removes the temporary folder; further calls have no effect. */
     @Override
-    public void close() throws IOException {
+    public synchronized void close() throws IOException {
         for (FleetProcess process : processes()) {
             process.end();
         }
+        if (!Files.exists(folder)) {
+            return;
+        }
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.delete(file);
