--- a/coordination/src/main/java/burlarch/coordination/rollout/EngineRollout.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/EngineRollout.java
@@ -29,7 +29,9 @@
  * REPORT_REQUESTED  a report that shows that the order was not accepted              WITHDRAWN
  * ORDERED, UNCONFIRMED, REPORT_REQUESTED
  *                   the ordered version is loaded                                    IDLE              ClearLoading
- *                   the ordered version is loaded, but a newer one is named          WITHDRAWN
+ *                   the ordered version is loaded, but a newer one is named          LOADED
+ * LOADED            begin: chosen to load the newer version                          WITHDRAWN
+ * LOADED            not chosen, as other engines have waited longer                  IDLE              ClearLoading
  * </pre>
  *
  * <p>Invariants:
@@ -56,15 +58,21 @@
         /** The order was accepted, or may have been; registrations and reports will show it. */
         UNCONFIRMED,
         /** As UNCONFIRMED, and a report was requested. */
-        REPORT_REQUESTED;
+        REPORT_REQUESTED,
+        /**
+         * The ordered version is loaded, but a newer one is named. Routers still send nothing to the engine. It ends
+         * with the call in which it began.
+         */
+        LOADED;
 
         boolean canMoveTo(Phase next) {
             return switch (this) {
                 case IDLE -> next == WITHDRAWN || next == UNCONFIRMED;
                 case WITHDRAWN -> next == ORDERED || next == IDLE;
-                case ORDERED -> next == UNCONFIRMED || next == WITHDRAWN || next == IDLE;
-                case UNCONFIRMED -> next == REPORT_REQUESTED || next == WITHDRAWN || next == IDLE;
-                case REPORT_REQUESTED -> next == UNCONFIRMED || next == WITHDRAWN || next == IDLE;
+                case ORDERED -> next == UNCONFIRMED || next == LOADED || next == IDLE;
+                case UNCONFIRMED -> next == REPORT_REQUESTED || next == WITHDRAWN || next == LOADED || next == IDLE;
+                case REPORT_REQUESTED -> next == UNCONFIRMED || next == WITHDRAWN || next == LOADED || next == IDLE;
+                case LOADED -> next == WITHDRAWN || next == IDLE;
             };
         }
     }
@@ -78,6 +86,8 @@
     private static final int REPORT_AGE_DIVISOR = 8;
     /** The first report after an accepted order is requested at this fraction of the estimated load time. */
     private static final double FIRST_REPORT_FRACTION = 0.9;
+    /** An engine serves again after that many loads, so that it is not withdrawn for long by versions in succession. */
+    private static final int MAX_LOADS_WHILE_WITHDRAWN = 2;
 
     private final RolloutSettings settings;
     private final RolloutOwnership ownership;
@@ -92,6 +102,8 @@
     private long expectedSequence = SendOrder.ANY_SEQUENCE;
     /** Number of orders sent since the engine was withdrawn; 0 for an adopted engine. */
     private int attempts;
+    /** Number of loads since the engine was withdrawn, the present one included; 0 for an adopted engine. */
+    private int loadsSinceWithdrawal;
 
     private long orderAtNanos;
     private long sentAtNanos;
@@ -128,13 +140,19 @@
         return phase == Phase.IDLE;
     }
 
+    /** Returns whether the engine needs newer weights of the target's model and no order for it is in progress. */
+    boolean awaitsOrder(RolloutTarget newTarget) {
+        boolean noOrder = phase == Phase.IDLE || phase == Phase.LOADED && target == newTarget;
+        return noOrder && status.isBehind(newTarget);
+    }
+
     boolean isStartable(long nowNanos) {
-        return phase == Phase.IDLE && nowNanos - nextOrderNotBeforeNanos >= 0;
+        return nowNanos - nextOrderNotBeforeNanos >= 0;
     }
 
     /** Returns whether the engine is withdrawn from routers because of an order for that target. */
     boolean isLoading(RolloutTarget newTarget) {
-        return status.isPresent() && phase != Phase.IDLE && target == newTarget;
+        return status.isPresent() && phase != Phase.IDLE && phase != Phase.LOADED && target == newTarget;
     }
 
     /** Returns the nanoseconds since the order was sent, 0 before it is sent. */
@@ -142,12 +160,33 @@
         return phase == Phase.WITHDRAWN ? 0 : nowNanos - sentAtNanos;
     }
 
-    /** Withdraws the engine from routers; the order follows after the withdrawal lead, when they have learned of it. */
+    /**
+     * Withdraws the engine from routers; the order follows after the withdrawal lead, when they have learned of it. An
+     * engine that is still withdrawn receives the order at once.
+     */
     void begin(RolloutTarget newTarget, long nowNanos) {
+        if (phase == Phase.IDLE) {
+            loadsSinceWithdrawal = 1;
+            orderAtNanos = nowNanos + settings.withdrawalLeadNanos();
+            actions.add(new MarkLoading(status.id()));
+        } else {
+            loadsSinceWithdrawal++;
+            orderAtNanos = nowNanos;
+        }
         moveTo(Phase.WITHDRAWN);
         target = newTarget;
-        orderAtNanos = nowNanos + settings.withdrawalLeadNanos();
-        actions.add(new MarkLoading(status.id()));
+    }
+
+    /** Returns whether the engine is still withdrawn after a load and may load once more before it serves again. */
+    boolean mayLoadAgain() {
+        return phase == Phase.LOADED && loadsSinceWithdrawal < MAX_LOADS_WHILE_WITHDRAWN;
+    }
+
+    /** Returns the engine to routers if it has completed an order and was not chosen for the next one. */
+    void releaseIfLoaded(long nowNanos) {
+        if (phase == Phase.LOADED) {
+            release(nowNanos);
+        }
     }
 
     /** Returns whether a previous owner has withdrawn the engine from routers. */
@@ -165,8 +204,9 @@
             clearMark(nowNanos);
             return;
         }
+        loadsSinceWithdrawal = 0;
         target = behind.get();
-        version = target.version;
+        version = target.version();
         sentAtNanos = nowNanos;
         awaitConfirmation(nowNanos - settings.reportStalenessNanos(), nowNanos);
     }
@@ -256,7 +296,7 @@
     /** Returns the time at which {@link #proceed} has something to do; empty if there is none. */
     OptionalLong nextDueAtNanos() {
         return switch (phase) {
-            case IDLE -> OptionalLong.empty();
+            case IDLE, LOADED -> OptionalLong.empty();
             case WITHDRAWN -> mayAct() ? OptionalLong.of(orderAtNanos) : OptionalLong.empty();
             case ORDERED -> OptionalLong.of(sentAtNanos + RESPONSE_TIMEOUT_NANOS);
             case UNCONFIRMED, REPORT_REQUESTED -> mayAct()
@@ -337,7 +377,7 @@
             return;
         }
         moveTo(Phase.ORDERED);
-        version = target.version;
+        version = target.version();
         fencingToken = ownership.fencingToken();
         sentAtNanos = nowNanos;
         attempts++;
@@ -358,8 +398,7 @@
         }
         resetOrder(nowNanos);
         if (ownership.isHeld() && status.isBehind(target)) {
-            moveTo(Phase.WITHDRAWN);
-            orderAtNanos = nowNanos;
+            moveTo(Phase.LOADED);
         } else {
             release(nowNanos);
         }
--- a/coordination/src/main/java/burlarch/coordination/rollout/EngineStatus.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/EngineStatus.java
@@ -83,6 +83,11 @@
         return versions.getOrDefault(model, 0L) >= version;
     }
 
+    /** Returns when the weights that it has were superseded. It must be behind the target. */
+    long supersededAtNanos(RolloutTarget target) {
+        return target.supersededAtNanos(versions.get(target.model));
+    }
+
     /** Returns whether it accepts requests for the target's model, or will once it has loaded weights. */
     boolean serves(RolloutTarget target) {
         return present && instance.state() != InstanceState.DRAINING && versions.containsKey(target.model);
@@ -90,6 +95,6 @@
 
     /** Returns whether it serves the target's model with older weights. */
     boolean isBehind(RolloutTarget target) {
-        return serves(target) && versions.get(target.model) < target.version;
+        return serves(target) && versions.get(target.model) < target.version();
     }
 }
--- a/coordination/src/main/java/burlarch/coordination/rollout/LoadConcurrency.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/LoadConcurrency.java
@@ -4,8 +4,8 @@
  * The limit on how many engines of one model load at once: the smallest number with which the rollout is done in
  * time.
  *
- * <p>Invariant <em>half keeps serving</em>: before the deadline at most half of the engines load, rounded up. After
- * it, engines that are behind cannot serve anyway, so all may load.
+ * <p>Invariant <em>half keeps serving</em>: at most half of the engines load, rounded up, but for the overdue ones: no
+ * request may begin on their weights anyway, so all of them may load.
  */
 final class LoadConcurrency {
     /** Fraction of the engines that may load at least while no load has been timed. */
@@ -32,30 +32,44 @@
      * Returns the number of engines that may load now, those already loading included.
      *
      * @param serving number of engines that serve the model
-     * @param behind number of engines that still need an order
+     * @param overdue number of engines that still need an order and on whose weights no request may begin any more
+     * @param untilTargetNanos for each engine that still needs an order, the overdue ones included: time until it should
+     *     be done, the shortest first; may be negative
      * @param agesNanos how long each loading engine has been loading; not negative
-     * @param untilTargetNanos time until all should be done; may be negative
-     * @param untilDeadlineNanos time until no request may begin on older weights; may be negative
      */
-    int maxConcurrentLoads(int serving, int behind, long[] agesNanos, long untilTargetNanos, long untilDeadlineNanos) {
-        int remaining = behind + agesNanos.length;
-        if (untilDeadlineNanos <= 0) {
-            return remaining;
-        }
-        int half = Math.max(1, (serving + 1) / 2);
-        return Math.min(half, Math.min(remaining, neededLoads(serving, behind, agesNanos, untilTargetNanos)));
+    int maxConcurrentLoads(int serving, int overdue, long[] untilTargetNanos, long[] agesNanos) {
+        int loadingOrOverdue = overdue == 0 ? 0 : agesNanos.length + overdue;
+        return Math.max(loadingOrOverdue, Math.min(half(serving), neededLoads(serving, untilTargetNanos, agesNanos)));
+    }
+
+    /** Returns how many of that many engines may load at once while the others serve. */
+    static int half(int serving) {
+        return Math.max(1, (serving + 1) / 2);
     }
 
-    private int neededLoads(int serving, int behind, long[] agesNanos, long leftNanos) {
+    /** Returns the smallest number of concurrent loads with which each engine is done in time, the first due first. */
+    private int neededLoads(int serving, long[] untilTargetNanos, long[] agesNanos) {
+        int minimum = estimateNanos == 0 ? Math.max(FIRST_MINIMUM, (int) Math.ceil(FIRST_FRACTION * serving)) : 1;
         long loadNanos = longestLoadNanos(agesNanos);
-        if (leftNanos < loadNanos || leftNanos <= 0) {
-            return behind + agesNanos.length;
-        }
-        double workNanos = (double) behind * loadNanos;
+        double workNanos = 0;
         for (long ageNanos : agesNanos) {
             workNanos += loadNanos - ageNanos;
         }
-        int minimum = estimateNanos == 0 ? Math.max(FIRST_MINIMUM, (int) Math.ceil(FIRST_FRACTION * serving)) : 1;
+        int needed = 0;
+        for (int i = 0; i < untilTargetNanos.length; i++) {
+            int remaining = agesNanos.length + i + 1;
+            workNanos += loadNanos;
+            needed = Math.max(
+                    needed,
+                    Math.min(remaining, neededLoads(remaining, minimum, workNanos, loadNanos, untilTargetNanos[i])));
+        }
+        return needed;
+    }
+
+    private static int neededLoads(int remaining, int minimum, double workNanos, long loadNanos, long leftNanos) {
+        if (leftNanos < loadNanos || leftNanos <= 0) {
+            return remaining;
+        }
         return Math.max(minimum, (int) Math.ceil(workNanos / leftNanos));
     }
 
--- a/coordination/src/main/java/burlarch/coordination/rollout/RolloutWave.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/RolloutWave.java
@@ -2,11 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** One decision on which engines of one model start to load now. Each instance is used once. */
+/**
+ * One decision on which engines of one model start to load now. Each instance is used once.
+ *
+ * <p>Invariant <em>longest superseded first</em>: no engine starts to load before one that could start as well and whose
+ * weights were superseded earlier. So each engine gets its turn, however quickly new versions are named.
+ */
 final class RolloutWave {
     /** The number of engines of one zone that serve the model, and of those that load. */
     private static final class ZoneCount {
@@ -14,17 +20,21 @@
         private int serving;
     }
 
+    /** An engine without an order that still needs one, and when its weights were superseded. */
+    private record OutdatedEngine(EngineRollout engine, long supersededAtNanos) {}
+
     private final Collection<EngineRollout> engines;
     private final RolloutTarget target;
     private final RolloutSettings settings;
     private final long nowNanos;
-    private final List<EngineRollout> startable = new ArrayList<>();
+    /** The longest superseded first. */
+    private final List<OutdatedEngine> outdated = new ArrayList<>();
+
+    private final List<OutdatedEngine> startable = new ArrayList<>();
     /** The loading engines, without those that have taken longer than a whole rollout should. */
     private final List<EngineRollout> loading = new ArrayList<>();
 
     private final Map<String, ZoneCount> zones = new HashMap<>();
-    /** Number of engines without an order that still need one. */
-    private int behind;
 
     private int serving;
 
@@ -36,7 +46,8 @@
     }
 
     /**
-     * Starts loads until as many engines load as may load at once.
+     * Starts loads until as many engines load as are needed to be done in time. An engine that is still withdrawn after
+     * a load may go on beyond that, as it has no requests.
      *
      * @return whether more engines are to be started later
      */
@@ -46,15 +57,22 @@
                 count(engine);
             }
         }
-        if (behind == 0) {
+        if (outdated.isEmpty()) {
             return false;
         }
-        int freeSlots = maxConcurrentLoads() - loading.size();
-        while (freeSlots > 0 && !startable.isEmpty()) {
+        outdated.sort(Comparator.comparingLong(engine -> engine.supersededAtNanos() - nowNanos));
+        int maxConcurrent = maxConcurrentLoads();
+        int started = 0;
+        while (!startable.isEmpty() && mayStart(nextToStart(), loading.size() + started, maxConcurrent)) {
             start(nextToStart());
-            freeSlots--;
+            started++;
         }
-        return behind > 0;
+        return started < outdated.size();
+    }
+
+    private boolean mayStart(OutdatedEngine next, int concurrent, int maxConcurrent) {
+        boolean mayLoadAgain = next.engine().mayLoadAgain() && concurrent < LoadConcurrency.half(serving);
+        return concurrent < maxConcurrent || mayLoadAgain;
     }
 
     private void count(EngineRollout engine) {
@@ -66,24 +84,25 @@
             if (engine.ageNanos(nowNanos) < targetDurationNanos()) {
                 loading.add(engine);
             }
-        } else if (engine.isIdle() && engine.status().isBehind(target)) {
-            behind++;
+        } else if (engine.awaitsOrder(target)) {
+            OutdatedEngine outdatedEngine =
+                    new OutdatedEngine(engine, engine.status().supersededAtNanos(target));
+            outdated.add(outdatedEngine);
             if (engine.isStartable(nowNanos)) {
-                startable.add(engine);
+                startable.add(outdatedEngine);
             }
         }
     }
 
-    private void start(EngineRollout engine) {
-        startable.remove(engine);
-        zones.get(engine.status().zone()).loading++;
-        engine.begin(target, nowNanos);
-        behind--;
+    private void start(OutdatedEngine next) {
+        startable.remove(next);
+        zones.get(next.engine().status().zone()).loading++;
+        next.engine().begin(target, nowNanos);
     }
 
     /**
-     * Returns the time in which a rollout should be done: half of the deadline. An engine whose load takes longer no
-     * longer occupies a slot.
+     * Returns the time in which an engine should have newer weights: half of the deadline. An engine whose load takes
+     * longer no longer occupies a slot.
      */
     private long targetDurationNanos() {
         return settings.versionDeadlineNanos() / 2;
@@ -94,32 +113,46 @@
         for (int i = 0; i < agesNanos.length; i++) {
             agesNanos[i] = loading.get(i).ageNanos(nowNanos);
         }
-        long elapsedNanos = nowNanos - target.raisedAtNanos;
-        return target.concurrency.maxConcurrentLoads(
-                serving,
-                behind,
-                agesNanos,
-                targetDurationNanos() - elapsedNanos,
-                settings.versionDeadlineNanos() - elapsedNanos);
+        long[] untilTargetNanos = new long[outdated.size()];
+        int overdue = 0;
+        for (int i = 0; i < untilTargetNanos.length; i++) {
+            long elapsedNanos = nowNanos - outdated.get(i).supersededAtNanos();
+            untilTargetNanos[i] = targetDurationNanos() - elapsedNanos;
+            overdue += elapsedNanos >= settings.versionDeadlineNanos() ? 1 : 0;
+        }
+        return target.concurrency.maxConcurrentLoads(serving, overdue, untilTargetNanos, agesNanos);
     }
 
-    private EngineRollout nextToStart() {
-        EngineRollout next = startable.get(0);
-        for (EngineRollout engine : startable) {
-            if (startsBefore(engine.status(), next.status())) {
-                next = engine;
+    private OutdatedEngine nextToStart() {
+        OutdatedEngine next = startable.get(0);
+        for (OutdatedEngine candidate : startable) {
+            if (startsBefore(candidate, next)) {
+                next = candidate;
             }
         }
         return next;
     }
 
     /**
-     * Orders by the fraction of the zone that is loading, the smaller first, then by the number of running requests.
+     * Orders by the time at which the weights were superseded, then engines that are still withdrawn after a load, then
+     * by the fraction of the zone that is loading, the smaller first, then by the number of running requests.
      */
-    private boolean startsBefore(EngineStatus first, EngineStatus second) {
-        ZoneCount firstZone = zones.get(first.zone());
-        ZoneCount secondZone = zones.get(second.zone());
-        int byZone = Integer.compare(firstZone.loading * secondZone.serving, secondZone.loading * firstZone.serving);
-        return byZone < 0 || byZone == 0 && first.runningRequests() < second.runningRequests();
+    private boolean startsBefore(OutdatedEngine first, OutdatedEngine second) {
+        long bySupersededNanos = first.supersededAtNanos() - second.supersededAtNanos();
+        if (bySupersededNanos != 0) {
+            return bySupersededNanos < 0;
+        }
+        if (first.engine().isIdle() != second.engine().isIdle()) {
+            return second.engine().isIdle();
+        }
+        EngineStatus firstStatus = first.engine().status();
+        EngineStatus secondStatus = second.engine().status();
+        int byZone = compareZones(zones.get(firstStatus.zone()), zones.get(secondStatus.zone()));
+        return byZone < 0 || byZone == 0 && firstStatus.runningRequests() < secondStatus.runningRequests();
+    }
+
+    /** Compares by the fraction of the engines that are loading. */
+    private static int compareZones(ZoneCount first, ZoneCount second) {
+        return Integer.compare(first.loading * second.serving, second.loading * first.serving);
     }
 }
--- a/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
@@ -169,6 +169,7 @@
     private List<RolloutAction> proceed(long nowNanos) {
         boolean moreToStart = ownership.isHeld() && startLoads(nowNanos);
         for (EngineRollout engine : engines.values()) {
+            engine.releaseIfLoaded(nowNanos);
             engine.proceed(nowNanos);
         }
         OptionalLong next = nextTimerNanos(moreToStart, nowNanos);
--- a/coordination/src/test/java/burlarch/coordination/rollout/RolloutSearchTest.java
+++ b/coordination/src/test/java/burlarch/coordination/rollout/RolloutSearchTest.java
@@ -21,6 +21,24 @@
         }
     }
 
+    /** Guards against engines that keep superseded weights in service while newer versions keep coming (VERSION). */
+    @Test
+    void noEngineServesSupersededWeightsTooLongWhileVersionsComeInQuickSuccession() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            int count = 3 + seed % 18;
+            RolloutSimulation simulation = new RolloutSimulation(seed, count, 0, 500 + seed);
+            for (int version = 0; version < 16; version++) {
+                simulation.nameVersion(1000 + version * (300 + seed * 7L));
+            }
+            simulation.run(90_000);
+            simulation.assertDone();
+            assertThat(simulation.maxMillisOnSupersededWeights)
+                    .as("seed %d", seed)
+                    .isLessThan(8000);
+            assertThat(simulation.maxLoading).as("seed %d", seed).isLessThanOrEqualTo((count + 1) / 2);
+        }
+    }
+
     @Test
     void rolloutReachesAllEnginesDespiteLossRestartsNewVersionsAndOwnerChanges() {
         for (int seed = 0; seed < SEEDS; seed++) {
--- a/coordination/src/test/java/burlarch/coordination/rollout/RolloutSimulation.java
+++ b/coordination/src/test/java/burlarch/coordination/rollout/RolloutSimulation.java
@@ -46,9 +46,12 @@
     private long timerMillis = Long.MAX_VALUE;
     private long token;
     private long target = 1;
+    private final Map<Long, Long> namedAtMillis = new HashMap<>();
     private long nowMillis;
     private long eventCount;
     int maxLoading;
+    /** The longest time that routers could send requests to an engine after its weights were superseded. */
+    long maxMillisOnSupersededWeights;
 
     RolloutSimulation(long seed, int count, double lossProbability, long loadMillis) {
         random = new Random(seed);
@@ -63,6 +66,7 @@
     void nameVersion(long millis) {
         schedule(millis, () -> {
             target++;
+            namedAtMillis.put(target, nowMillis);
             perform(rollout.onTargets(Map.of("m", target), nanos()));
         });
     }
@@ -90,6 +94,7 @@
             Event event = events.poll();
             assertThat(eventCount).as("events").isLessThan(MAX_EVENTS);
             nowMillis = event.atMillis();
+            recordSupersededWeights();
             event.task().run();
             int loading = (int) engines.values().stream()
                     .filter(engine -> engine.alive && engine.busy(nowMillis))
@@ -99,6 +104,18 @@
         nowMillis = until;
     }
 
+    /** Engines that are not marked receive requests. */
+    private void recordSupersededWeights() {
+        for (SimulatedEngine engine : engines.values()) {
+            Long supersededAtMillis = namedAtMillis.get(engine.version + 1);
+            if (engine.alive && supersededAtMillis != null && !markedAtMillis.containsKey(engine.id)) {
+                engine.finishDueLoad(nowMillis);
+                supersededAtMillis = namedAtMillis.getOrDefault(engine.version + 1, nowMillis);
+                maxMillisOnSupersededWeights = Math.max(maxMillisOnSupersededWeights, nowMillis - supersededAtMillis);
+            }
+        }
+    }
+
     void assertDone() {
         for (SimulatedEngine engine : engines.values()) {
             if (engine.alive) {
--- a/routing/src/main/java/burlarch/routing/planner/ServiceState.java
+++ b/routing/src/main/java/burlarch/routing/planner/ServiceState.java
@@ -1,6 +1,7 @@
 package burlarch.routing.planner;
 
 import burlarch.configuration.Configuration.Service;
+import burlarch.coordination.rollout.VersionTimeline;
 import burlarch.routing.admission.CacheMissAdmission;
 import burlarch.routing.admission.PriorityShedding;
 import burlarch.routing.admission.RetryBudget;
@@ -19,14 +20,14 @@
     private static final double MEAN_GAIN = 0.02;
     private static final double MISS_GAIN = 0.1;
 
-    private record ObservedVersion(long version, long sinceNanos) {}
-
     private final InstanceSpeed speed = new InstanceSpeed();
     private final List<TrackedInstance> instances = new ArrayList<>();
     private final RetryBudget budget;
     private final CacheMissAdmission admission;
     private final PriorityShedding priorityShedding = new PriorityShedding();
-    private final Map<String, ObservedVersion> newestVersions = new HashMap<>(2);
+    /** The weights versions of each model by when an instance was first seen to have them. */
+    private final Map<String, VersionTimeline> observedVersions = new HashMap<>(2);
+
     private Service service;
     private double meanPrefillTokens = 1_000;
     private double meanMissTokens = 2_000;
@@ -116,19 +117,16 @@
 
     /** Records that an instance has that weights version. */
     void onVersion(String model, long version, long nowNanos) {
-        ObservedVersion newest = newestVersions.get(model);
-        if (newest == null || version > newest.version()) {
-            newestVersions.put(model, new ObservedVersion(version, nowNanos));
-        }
+        observedVersions.computeIfAbsent(model, name -> new VersionTimeline()).add(version, nowNanos);
     }
 
     /**
-     * Returns the newest weights version if it has been known for {@code graceNanos}, so that all instances can have
-     * it; else 0.
+     * Returns the newest weights version that has been known for {@code graceNanos}, so that all instances can have it
+     * or a newer one; 0 if there is none.
      */
     long minVersion(String model, long graceNanos, long nowNanos) {
-        ObservedVersion newest = newestVersions.get(model);
-        return newest == null || nowNanos - newest.sinceNanos() < graceNanos ? 0 : newest.version();
+        VersionTimeline observed = observedVersions.get(model);
+        return observed == null ? 0 : observed.newestKnownFor(graceNanos, nowNanos);
     }
 
     /**
@@ -137,8 +135,8 @@
      * that version was recently seen to load another.
      */
     long newestSupersededVersion(String model, long nowNanos) {
-        ObservedVersion newest = newestVersions.get(model);
-        long supersededVersion = newest == null ? 0 : newest.version() - 1;
+        VersionTimeline observed = observedVersions.get(model);
+        long supersededVersion = observed == null ? 0 : observed.newest() - 1;
         for (int i = 0; i < instances.size(); i++) {
             supersededVersion = Math.max(supersededVersion, instances.get(i).versionBeforeLoading(model, nowNanos));
         }
--- a/routing/src/test/java/burlarch/routing/planner/FleetPlannerTest.java
+++ b/routing/src/test/java/burlarch/routing/planner/FleetPlannerTest.java
@@ -304,6 +304,27 @@
         assertThat(late).containsExactly("new");
     }
 
+    /** Guards against requests on long superseded weights while newer versions keep coming (VERSION). */
+    @Test
+    void theGracePeriodOfOldWeightsIsNotExtendedByFurtherVersions() {
+        Set<String> late = new HashSet<>();
+        for (int version = 2; version <= 5; version++) {
+            long nowNanos = (version - 2) * 2 * SECOND;
+            planner.onInstances(
+                    List.of(
+                            Fixture.engine("old", 1),
+                            Fixture.engine("middle", Math.min(version, 3)),
+                            Fixture.engine("new", version)),
+                    nowNanos);
+        }
+        for (int i = 0; i < 60; i++) {
+            late.add(Fixture.serve(planner, Fixture.review(i, 0), 6 * SECOND, 100 * MILLI)
+                    .instance()
+                    .id());
+        }
+        assertThat(late).containsExactlyInAnyOrder("middle", "new");
+    }
+
     @Test
     void oldWeightsServeWhereNoInstanceHasTheNewOnes() {
         planner.onInstances(List.of(Fixture.engine("old", 1), Fixture.engine("new", 2)), 0);
