--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -20,6 +20,7 @@
 import burlarch.router.control.RouterCountTracker;
 import burlarch.router.control.RouterPositionTracker;
 import burlarch.router.forwarding.CredentialValidity;
+import burlarch.router.lifecycle.DrainSchedule;
 import burlarch.router.prefixcache.PrefixCacheEventPublisher;
 import burlarch.router.prefixcache.PrefixIndexUpdater;
 import burlarch.router.prefixcache.SourceSubscriptions;
@@ -84,8 +85,13 @@
         SettingsFileWatcher.start(
                 newSettings -> loop.execute(() -> links.addControllers(NodeAddresses.seeds(newSettings))));
         ShutdownHook.onSignal(() -> {
+            long signalledAtNanos = System.nanoTime();
             server.drain().join();
             membership.leaveWithinTimeout();
+            Logger.info(
+                    "router ends: node={} elapsedMillis={}",
+                    settings.nodeName(),
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledAtNanos));
         });
         Logger.info(
                 "router listening: node={} front={}",
@@ -105,10 +111,12 @@
             throws Exception {
         CredentialValidity credentials =
                 confirmer.isPresent() ? confirmer.get()::mayAccept : CredentialValidity.UNBOUNDED;
-        long graceMillis = TimeUnit.NANOSECONDS.toMillis(settings.bounds().graceNanos());
+        DrainSchedule drainSchedule = DrainSchedule.within(
+                TimeUnit.NANOSECONDS.toMillis(settings.bounds().graceNanos()),
+                TimeUnit.NANOSECONDS.toMillis(settings.bounds().transitNanos()));
         RouterServer server = new RouterServer(
                 new RouterServerSettings(
-                        settings.listen().front(), settings.listen().readiness(), graceMillis),
+                        settings.listen().front(), settings.listen().readiness(), drainSchedule),
                 planner,
                 plannerLock,
                 IndexedRouteTable::of,
--- a/router/src/main/java/burlarch/router/RouterServer.java
+++ b/router/src/main/java/burlarch/router/RouterServer.java
@@ -220,7 +220,7 @@
      * then {@link #close} may be called.
      */
     public CompletableFuture<Void> drain() {
-        return drain(DrainSchedule.within(settings.graceMillis()));
+        return drain(settings.drainSchedule());
     }
 
     /** As {@link #drain()}, with the given schedule. */
--- a/router/src/main/java/burlarch/router/RouterServerSettings.java
+++ b/router/src/main/java/burlarch/router/RouterServerSettings.java
@@ -1,5 +1,6 @@
 package burlarch.router;
 
+import burlarch.router.lifecycle.DrainSchedule;
 import java.net.InetSocketAddress;
 
 /**
@@ -7,16 +8,16 @@
  *
  * @param front listen address for clients
  * @param readiness listen address for readiness checks of the platform
- * @param graceMillis time between SIGTERM and SIGKILL, in milliseconds
+ * @param drainSchedule schedule of the graceful shutdown
  * @param connectTimeoutMillis maximum time to establish a connection to an instance, in milliseconds
  */
 public record RouterServerSettings(
-        InetSocketAddress front, InetSocketAddress readiness, long graceMillis, long connectTimeoutMillis) {
+        InetSocketAddress front, InetSocketAddress readiness, DrainSchedule drainSchedule, long connectTimeoutMillis) {
     /** Default connect timeout. An attempt that cannot connect in this time has failed without sending anything. */
     public static final long CONNECT_TIMEOUT_MILLIS = 800;
 
     /** Settings with the default connect timeout. */
-    public RouterServerSettings(InetSocketAddress front, InetSocketAddress readiness, long graceMillis) {
-        this(front, readiness, graceMillis, CONNECT_TIMEOUT_MILLIS);
+    public RouterServerSettings(InetSocketAddress front, InetSocketAddress readiness, DrainSchedule drainSchedule) {
+        this(front, readiness, drainSchedule, CONNECT_TIMEOUT_MILLIS);
     }
 }
--- a/router/src/main/java/burlarch/router/lifecycle/Drain.java
+++ b/router/src/main/java/burlarch/router/lifecycle/Drain.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.tinylog.Logger;
 
 /**
  * Graceful shutdown of a router: takes it out of service without losing a request, at the times of a
@@ -57,6 +58,7 @@
             scheduler.schedule(this::closeIdleAndAwaitRequests, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        Logger.info("drain over: elapsedMillis={} requestsEnded={}", elapsedMillis(), requests.count());
         done.complete(null);
     }
 
--- a/router/src/main/java/burlarch/router/lifecycle/DrainSchedule.java
+++ b/router/src/main/java/burlarch/router/lifecycle/DrainSchedule.java
@@ -26,19 +26,34 @@
     private static final long MAX_REJECT_MILLIS = 2500;
 
     private static final long GRACE_TO_REJECT_DIVISOR = 2;
-    /** Time for notifying the members, stopping the threads and exiting, even on a busy machine. */
+    /**
+     * Time for a delayed delivery of the signal, for notifying the members, stopping the threads and exiting, even on a
+     * machine with a tenth of a core.
+     */
     private static final long MAX_EXIT_MILLIS = 1500;
 
-    private static final long GRACE_TO_EXIT_DIVISOR = 4;
+    private static final long GRACE_TO_MIN_EXIT_DIVISOR = 12;
+    /** A request may be ended if its instance is still at work in this last part of the grace period. */
+    private static final long GRACE_TO_LAST_PART_DIVISOR = 6;
     /** Time needed to write a response at its deadline. */
     private static final long WRITE_MILLIS = 50;
 
-    /** Returns the schedule of a process that is killed {@code graceMillis} after the signal. */
-    public static DrainSchedule within(long graceMillis) {
+    /**
+     * Returns the schedule of a process that is killed {@code graceMillis} after the signal. What an instance has sent
+     * by the last sixth of that time is forwarded before the end.
+     *
+     * @param transitMillis longest time from an instance's event to its arrival at the client
+     */
+    public static DrainSchedule within(long graceMillis, long transitMillis) {
         long closeConnectionsAtMillis = Math.min(MAX_CLOSE_MILLIS, graceMillis / GRACE_TO_CLOSE_DIVISOR);
         long rejectAtMillis = Math.min(MAX_REJECT_MILLIS, graceMillis / GRACE_TO_REJECT_DIVISOR);
-        long exitMillis = Math.min(MAX_EXIT_MILLIS, graceMillis / GRACE_TO_EXIT_DIVISOR);
-        return new DrainSchedule(closeConnectionsAtMillis, rejectAtMillis, graceMillis - exitMillis);
+        return new DrainSchedule(
+                closeConnectionsAtMillis, rejectAtMillis, graceMillis - exitMillis(graceMillis, transitMillis));
+    }
+
+    private static long exitMillis(long graceMillis, long transitMillis) {
+        long afterLastEvents = graceMillis / GRACE_TO_LAST_PART_DIVISOR - transitMillis;
+        return Math.min(MAX_EXIT_MILLIS, Math.max(graceMillis / GRACE_TO_MIN_EXIT_DIVISOR, afterLastEvents));
     }
 
     /** Whether a response that begins now must be the last one on its connection. */
