--- a/controller/src/main/java/burlarch/controller/api/RequestBodyReader.java
+++ b/controller/src/main/java/burlarch/controller/api/RequestBodyReader.java
@@ -3,8 +3,8 @@
 import burlarch.controller.error.ControlException;
 import burlarch.controller.error.ErrorKind;
 import burlarch.node.http.RequestBodyBudget;
+import burlarch.node.http.RequestBodyBuffer;
 import java.nio.ByteBuffer;
-import java.util.Arrays;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 
@@ -13,9 +13,6 @@
  * more of the body has arrived, one run at a time.
  */
 final class RequestBodyReader implements Runnable {
-    private static final int INITIAL_BYTES = 4 << 10;
-    private static final int GROWTH_FACTOR = 2;
-
     /** Listener that is notified once, on the thread that read the last bytes. */
     interface Listener {
         /** Called with the complete body; its bytes stay reserved until {@link RequestBodyReader#release}. */
@@ -27,16 +24,14 @@
 
     private final Request request;
     private final int maxBytes;
-    private final RequestBodyBudget budget;
+    private final RequestBodyBuffer buffer;
     private final Listener listener;
-    private byte[] bytes = new byte[0];
-    private int length;
 
     /** Creates a reader, which is started by {@link #run}. */
     RequestBodyReader(Request request, int maxBytes, RequestBodyBudget budget, Listener listener) {
         this.request = request;
         this.maxBytes = maxBytes;
-        this.budget = budget;
+        this.buffer = new RequestBodyBuffer(budget, maxBytes, request.getLength());
         this.listener = listener;
     }
 
@@ -48,7 +43,7 @@
                 throw new ControlException(ErrorKind.TOO_LARGE);
             }
             if (readAvailable()) {
-                listener.onBody(length == bytes.length ? bytes : Arrays.copyOf(bytes, length));
+                listener.onBody(buffer.toByteArray());
             } else {
                 request.demand(this);
             }
@@ -57,11 +52,9 @@
         }
     }
 
-    /** Releases the reserved bytes. Must be called once, after which nothing is read. */
+    /** Releases the reserved bytes, after which nothing is read. */
     void release() {
-        budget.release(bytes.length);
-        bytes = new byte[0];
-        length = 0;
+        buffer.release();
     }
 
     /** Reads the available bytes. Returns whether the body is complete. */
@@ -89,24 +82,10 @@
     }
 
     private void append(ByteBuffer chunk) {
-        int added = chunk.remaining();
-        if (added > maxBytes - length) {
-            throw new ControlException(ErrorKind.TOO_LARGE);
-        }
-        if (added > bytes.length - length) {
-            grow(length + added);
-        }
-        chunk.get(bytes, length, added);
-        length += added;
-    }
-
-    private void grow(int requiredBytes) {
-        long declaredBytes = request.getLength();
-        long wantedBytes = Math.max(Math.max(requiredBytes, INITIAL_BYTES), (long) bytes.length * GROWTH_FACTOR);
-        int size = (int) Math.min(wantedBytes, declaredBytes >= requiredBytes ? declaredBytes : maxBytes);
-        if (!budget.tryReserve(size - bytes.length)) {
-            throw new ControlException(ErrorKind.OVERLOADED);
+        switch (buffer.append(chunk)) {
+            case APPENDED -> {}
+            case TOO_LONG -> throw new ControlException(ErrorKind.TOO_LARGE);
+            case NO_ROOM -> throw new ControlException(ErrorKind.OVERLOADED);
         }
-        bytes = Arrays.copyOf(bytes, size);
     }
 }
--- a/router/src/main/java/burlarch/router/forwarding/Exchange.java
+++ b/router/src/main/java/burlarch/router/forwarding/Exchange.java
@@ -11,6 +11,7 @@
 import burlarch.routing.RouteRequest;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpHeader;
@@ -49,8 +50,8 @@
     private ExchangeState state = ExchangeState.RECEIVING;
     /** Whether the startup gate was closed when the request arrived, so that it may have waited. */
     private boolean mayHaveWaitedAtGate;
-    /** Null until the body is received and reserved in the budget for bodies. */
-    private ByteBuffer body;
+    /** Null until the body is being received. */
+    private RequestBodyReader bodyReader;
     /** Null until the request is accepted. */
     private AttemptSequence attempts;
     /** Null until the request is accepted. */
@@ -121,7 +122,18 @@
             onTooLarge();
             return;
         }
-        new RequestBodyReader(request, maxBytes, this).run();
+        bodyReader = new RequestBodyReader(request, maxBytes, context.bodyBudget(), this);
+        bodyReader.run();
+    }
+
+    /** The rest of the body is read and dropped, so that the client is not cut off while it sends. */
+    @Override
+    public void onNoRoom(CompletableFuture<Void> restDropped) {
+        serialize(() -> {
+            if (endOnce()) {
+                response.respondDuringRequest(503, RETRY_AFTER_REJECTION, restDropped);
+            }
+        });
     }
 
     @Override
@@ -150,11 +162,6 @@
             onClientDisconnected();
             return;
         }
-        if (!context.bodyBudget().tryReserve(completeBody.remaining())) {
-            respond(503, RETRY_AFTER_REJECTION, ConnectionAfter.REUSABLE);
-            return;
-        }
-        body = completeBody;
         RouteTable table = context.routeTable();
         RequestReader.Result result =
                 RequestReader.read(table, request.getHttpURI(), request.getHeaders(), request.getHeadersNanoTime());
@@ -168,14 +175,14 @@
             respond(503, RETRY_AFTER_REJECTION, ConnectionAfter.REUSABLE);
             return;
         }
-        forward(routedRequest);
+        forward(routedRequest, completeBody);
     }
 
     private static boolean requiresKey(RouteTable table, RouteRequest routedRequest) {
         return table.requiresKey() && !routedRequest.route().isPublic();
     }
 
-    private void forward(RouteRequest routedRequest) {
+    private void forward(RouteRequest routedRequest, ByteBuffer body) {
         on(ExchangeState.Event.REQUEST_RECEIVED);
         if (!context.drain().accepts(routedRequest.deadlineNanos())) {
             respond(503, RETRY_AFTER_AT_OTHER_ROUTER, ConnectionAfter.CLOSED);
@@ -276,8 +283,8 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
-        if (body != null) {
-            context.bodyBudget().release(body.remaining());
+        if (bodyReader != null) {
+            bodyReader.release();
         }
         return true;
     }
--- a/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
+++ b/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
@@ -9,8 +9,10 @@
 
 /** Shared state and services of all exchanges of one router. May be used on any thread. */
 public final class ForwardingContext {
-    /** Maximum total size of the bodies of all requests in flight. */
+    /** Maximum total size of the bodies of all requests, those that are still arriving included. */
     private static final long MAX_TOTAL_BODY_BYTES = 16L << 20;
+    /** Part of it that uploads leave to ordinary requests. */
+    private static final long SMALL_BODIES_BYTES = 4L << 20;
 
     private final SynchronizedPlanner planner;
     private final UpstreamClient client;
@@ -18,7 +20,7 @@
     private final StartupGate startupGate;
     private final DrainState drain;
     private final CredentialValidity credentialValidity;
-    private final RequestBodyBudget bodyBudget = new RequestBodyBudget(MAX_TOTAL_BODY_BYTES);
+    private final RequestBodyBudget bodyBudget = new RequestBodyBudget(MAX_TOTAL_BODY_BYTES, SMALL_BODIES_BYTES);
     private final FailureLog failures = new FailureLog();
     private volatile RouteTable routeTable;
 
@@ -50,7 +52,7 @@
         return scheduler;
     }
 
-    /** Budget for the bodies of all requests in flight. */
+    /** Budget for the bodies of all requests, complete or not. */
     RequestBodyBudget bodyBudget() {
         return bodyBudget;
     }
--- a/router/src/main/java/burlarch/router/server/ClientResponse.java
+++ b/router/src/main/java/burlarch/router/server/ClientResponse.java
@@ -6,6 +6,7 @@
 import burlarch.router.lifecycle.InFlightRequests;
 import java.nio.ByteBuffer;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -112,9 +113,35 @@
      * @param retryAfter value of Retry-After, or null
      */
     public void respond(int status, String retryAfter, ConnectionAfter connection) {
+        if (endOnce()) {
+            writeGenerated(status, retryAfter, connection, onWritten());
+        }
+    }
+
+    /**
+     * As {@link #respond}, at once, while the request is still arriving. The connection carries another request if the
+     * rest of this one arrives.
+     *
+     * @param requestEnd completes when the rest of the request has been read; fails if it did not arrive
+     */
+    public void respondDuringRequest(int status, String retryAfter, CompletableFuture<Void> requestEnd) {
         if (!endOnce()) {
             return;
         }
+        Callback ended = onWritten();
+        Callback onBothEnded = Callback.from(
+                () -> requestEnd.whenComplete((done, failure) -> {
+                    if (failure == null) {
+                        ended.succeeded();
+                    } else {
+                        ended.failed(new QuietException.Exception(failure));
+                    }
+                }),
+                ended::failed);
+        writeGenerated(status, retryAfter, ConnectionAfter.REUSABLE, onBothEnded);
+    }
+
+    private void writeGenerated(int status, String retryAfter, ConnectionAfter connection, Callback written) {
         response.setStatus(status);
         HttpFields.Mutable headers = response.getHeaders();
         String requestId = request.getHeaders().get(Headers.REQUEST_ID);
@@ -129,7 +156,7 @@
         }
         announceCloseIfDraining(headers);
         headers.put(HttpHeader.CONTENT_LENGTH, 0);
-        response.write(true, BufferUtil.EMPTY_BUFFER, onWritten());
+        response.write(true, BufferUtil.EMPTY_BUFFER, written);
     }
 
     /** Closes the client's connection, so that a truncated response does not look complete. */
--- a/router/src/main/java/burlarch/router/server/RequestBodyReader.java
+++ b/router/src/main/java/burlarch/router/server/RequestBodyReader.java
@@ -1,39 +1,48 @@
 package burlarch.router.server;
 
-import java.io.ByteArrayOutputStream;
+import burlarch.node.http.RequestBodyBudget;
+import burlarch.node.http.RequestBodyBuffer;
 import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.thread.Invocable;
 
 /**
- * Non-blocking reader of the complete body of one request, up to a size limit. Runs on Jetty's threads, one call
- * after another.
+ * Non-blocking reader of the complete body of one request, up to a size limit and within the memory budget of all
+ * bodies. If the budget has no room for bytes that have arrived, the body is dropped and its rest is read without being
+ * stored. Runs on Jetty's threads, one call after another; {@link #release} may be called on any thread.
  */
 public final class RequestBodyReader implements Invocable.Task {
-    private static final int INITIAL_BUFFER_BYTES = 1024;
-
     /** Receives the result; exactly one of the methods is called, once. */
     public interface Listener {
-        /** Called with the complete body; empty if the request has none. */
+        /** Called with the complete body, which is valid until {@link RequestBodyReader#release}. */
         void onBody(ByteBuffer body);
 
         /** Called if the body exceeds the limit; the rest is not read. */
         void onTooLarge();
 
+        /**
+         * Called if the budget has no room for the body.
+         *
+         * @param restDropped completes when the rest of the body has been read; fails if it did not arrive
+         */
+        void onNoRoom(CompletableFuture<Void> restDropped);
+
         /** Called if the client has disconnected, timed out or violated the protocol. */
         void onFailure(Throwable cause);
     }
 
     private final Request request;
-    private final int maxBytes;
+    private final RequestBodyBuffer buffer;
     private final Listener listener;
-    private ByteArrayOutputStream received;
+    /** Null as long as the body is stored. */
+    private CompletableFuture<Void> restDropped;
 
     /** Creates a reader that has not started; {@link #run} starts it. */
-    public RequestBodyReader(Request request, int maxBytes, Listener listener) {
+    public RequestBodyReader(Request request, int maxBytes, RequestBodyBudget budget, Listener listener) {
         this.request = request;
-        this.maxBytes = maxBytes;
+        this.buffer = new RequestBodyBuffer(budget, maxBytes, request.getLength());
         this.listener = listener;
     }
 
@@ -42,6 +51,11 @@
         return InvocationType.NON_BLOCKING;
     }
 
+    /** Drops the body and releases its memory; what still arrives is not stored. */
+    public void release() {
+        buffer.release();
+    }
+
     /** Reads the available bytes and asks Jetty to run it again when there are more. */
     @Override
     public void run() {
@@ -52,38 +66,48 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                listener.onFailure(chunk.getFailure());
+                onFailure(chunk.getFailure());
                 return;
             }
-            boolean fits = append(chunk.getByteBuffer());
             boolean last = chunk.isLast();
-            chunk.release();
-            if (!fits) {
+            boolean tooLong = !store(chunk);
+            if (tooLong) {
                 listener.onTooLarge();
                 return;
             }
             if (last) {
-                listener.onBody(received == null ? ByteBuffer.allocate(0) : ByteBuffer.wrap(received.toByteArray()));
+                onLast();
                 return;
             }
         }
     }
 
-    /** Appends a chunk. Returns false if the size limit is exceeded. */
-    private boolean append(ByteBuffer chunk) {
-        int length = chunk.remaining();
-        if (length == 0) {
-            return true;
+    /** Stores or drops the bytes of a chunk and releases it. Returns false if the size limit is exceeded. */
+    private boolean store(Content.Chunk chunk) {
+        RequestBodyBuffer.AppendResult result =
+                restDropped == null ? buffer.append(chunk.getByteBuffer()) : RequestBodyBuffer.AppendResult.APPENDED;
+        chunk.release();
+        if (result == RequestBodyBuffer.AppendResult.NO_ROOM) {
+            restDropped = new CompletableFuture<>();
+            buffer.release();
+            listener.onNoRoom(restDropped);
         }
-        if (received == null) {
-            received = new ByteArrayOutputStream((int) Math.min(maxBytes, Math.max(INITIAL_BUFFER_BYTES, length)));
+        return result != RequestBodyBuffer.AppendResult.TOO_LONG;
+    }
+
+    private void onLast() {
+        if (restDropped == null) {
+            listener.onBody(buffer.content());
+        } else {
+            restDropped.complete(null);
         }
-        if (length > maxBytes - received.size()) {
-            return false;
+    }
+
+    private void onFailure(Throwable cause) {
+        if (restDropped == null) {
+            listener.onFailure(cause);
+        } else {
+            restDropped.completeExceptionally(cause);
         }
-        byte[] copy = new byte[length];
-        chunk.get(copy);
-        received.write(copy, 0, length);
-        return true;
     }
 }
--- a/router/src/test/java/burlarch/router/RawClient.java
+++ b/router/src/test/java/burlarch/router/RawClient.java
@@ -126,6 +126,11 @@
         }
     }
 
+    /** Whether bytes of a response have arrived that were not read yet. */
+    boolean hasReceivedBytes() throws IOException {
+        return input.available() > 0;
+    }
+
     /** Closes the sending direction; responses can still be received. */
     void shutdownOutput() throws IOException {
         socket.shutdownOutput();
