--- a/router/src/main/java/burlarch/router/control/ConfigurationConfirmation.java
+++ b/router/src/main/java/burlarch/router/control/ConfigurationConfirmation.java
@@ -15,21 +15,27 @@
  * <tr><td>pending request</td><td>response: a newer version</td><td>version awaited</td></tr>
  * <tr><td>version awaited</td><td>that version, or a newer one, is in force</td><td>confirmed as of the request's
  * time</td></tr>
+ * <tr><td>version awaited</td><td>response: a still newer version</td><td>both versions awaited</td></tr>
  * </table>
  *
  * <p>Invariant <em>one clock</em>: only times of this router's own monotonic clock are compared, never times of
  * another machine. Used on the event loop; {@link #isConfirmedSince} may be called on any thread.
  */
 final class ConfigurationConfirmation {
-    private static final long NONE = 0;
+    /** A version that a response returned and that was not in force then, and the time of its request. */
+    private record AwaitedVersion(long version, long asOfNanos) {}
 
-    private long requestNumber = NONE;
+    private long requestNumber;
     private long requestedAtNanos;
     private boolean pending;
-    /** Version that the newest accepted response returned and that is not in force yet; {@link #NONE} if none is. */
-    private long awaitedVersion = NONE;
+    /**
+     * The oldest version that is awaited; null if there is none. It is kept when a newer one is returned, so that versions
+     * in quick succession do not put off the confirmation.
+     */
+    private AwaitedVersion oldestAwaited;
+    /** The version that the newest response returned; null if none is awaited. */
+    private AwaitedVersion newestAwaited;
 
-    private long awaitedAsOfNanos;
     private volatile boolean confirmed;
     private volatile long confirmedAsOfNanos;
 
@@ -66,16 +72,26 @@
         if (version <= inForceVersion) {
             confirm(requestedAtNanos);
         } else {
-            awaitedVersion = version;
-            awaitedAsOfNanos = requestedAtNanos;
+            await(new AwaitedVersion(version, requestedAtNanos));
+        }
+    }
+
+    private void await(AwaitedVersion awaited) {
+        newestAwaited = awaited;
+        if (oldestAwaited == null || oldestAwaited.version() >= awaited.version()) {
+            oldestAwaited = awaited;
         }
     }
 
     /** Called when the given version is in force. */
     void onInForce(long version) {
-        if (awaitedVersion != NONE && version >= awaitedVersion) {
-            awaitedVersion = NONE;
-            confirm(awaitedAsOfNanos);
+        if (newestAwaited != null && version >= newestAwaited.version()) {
+            confirm(newestAwaited.asOfNanos());
+            newestAwaited = null;
+            oldestAwaited = null;
+        } else if (oldestAwaited != null && version >= oldestAwaited.version()) {
+            confirm(oldestAwaited.asOfNanos());
+            oldestAwaited = newestAwaited;
         }
     }
 
--- a/router/src/test/java/burlarch/router/control/ConfigurationConfirmationTest.java
+++ b/router/src/test/java/burlarch/router/control/ConfigurationConfirmationTest.java
@@ -52,6 +52,21 @@
         assertThat(confirmation.isConfirmedSince(200)).isTrue();
     }
 
+    /** Guards against confirmations that versions in quick succession put off again and again. */
+    @Test
+    void anAwaitedVersionIsConfirmedThoughANewerOneIsAwaitedToo() {
+        confirmation.onResponse(confirmation.onRequest(100), 6, 5);
+        confirmation.onResponse(confirmation.onRequest(200), 7, 5);
+        confirmation.onResponse(confirmation.onRequest(300), 8, 5);
+        confirmation.onInForce(6);
+        assertThat(confirmation.isConfirmedSince(100)).isTrue();
+        assertThat(confirmation.isConfirmedSince(101)).isFalse();
+        confirmation.onInForce(7);
+        assertThat(confirmation.isConfirmedSince(101)).isFalse();
+        confirmation.onInForce(8);
+        assertThat(confirmation.isConfirmedSince(300)).isTrue();
+    }
+
     @Test
     void awaitedVersionDoesNotReplaceALaterConfirmation() {
         confirmation.onResponse(confirmation.onRequest(100), 7, 5);
