--- a/node/src/main/java/burlarch/node/http/RequestBodyBudget.java
+++ b/node/src/main/java/burlarch/node/http/RequestBodyBudget.java
@@ -29,8 +29,9 @@
     }
 
     /**
-     * Reserves {@code bytes} more bytes for a body that then has {@code bodyBytes}; returns false and reserves none if
-     * that would exceed the limit.
+     * Reserves {@code bytes} more bytes for a body; returns false and reserves none if that would exceed the limit.
+     *
+     * @param bodyBytes size of the whole body as far as it is known, at least what is reserved for it then
      */
     public boolean tryReserve(long bytes, long bodyBytes) {
         long limit = bodyBytes > SMALL_BODY_BYTES ? maxBytesWithLargeBodies : maxBytes;
--- a/node/src/main/java/burlarch/node/http/RequestBodyBuffer.java
+++ b/node/src/main/java/burlarch/node/http/RequestBodyBuffer.java
@@ -4,7 +4,8 @@
 import java.util.Arrays;
 
 /**
- * The bytes of one request body, as far as they have arrived.
+ * The bytes of one request body, as far as they have arrived. A body whose declared length is large counts as large from
+ * its first byte on.
  *
  * <p>Invariant <em>reserved before allocated</em>: the memory of the buffer is always reserved in the budget, from before
  * it is allocated until {@link #release}.
@@ -82,7 +83,7 @@
     private boolean grow(int requiredBytes) {
         long wantedBytes = Math.max(Math.max(requiredBytes, INITIAL_BYTES), (long) bytes.length * GROWTH_FACTOR);
         int size = (int) Math.min(wantedBytes, declaredBytes >= requiredBytes ? declaredBytes : maxBytes);
-        if (!budget.tryReserve(size - bytes.length, size)) {
+        if (!budget.tryReserve(size - bytes.length, Math.max(size, declaredBytes))) {
             return false;
         }
         bytes = Arrays.copyOf(bytes, size);
--- a/node/src/test/java/burlarch/node/http/RequestBodyBufferTest.java
+++ b/node/src/test/java/burlarch/node/http/RequestBodyBufferTest.java
@@ -58,6 +58,20 @@
         assertThat(budget.reservedBytes()).isEqualTo(200_000);
     }
 
+    /** Guards against many slow uploads that exclude ordinary requests before any of them is large. */
+    @Test
+    void theFirstBytesOfLargeBodiesLeaveRoomForSmallBodiesToo() {
+        int stored = 0;
+        while (new RequestBodyBuffer(budget, MAX_BYTES, MAX_BYTES).append(ByteBuffer.allocate(4096))
+                == AppendResult.APPENDED) {
+            stored++;
+        }
+        assertThat(stored).isPositive();
+        assertThat(budget.reservedBytes()).isLessThanOrEqualTo(150_000);
+        assertThat(new RequestBodyBuffer(budget, MAX_BYTES, 1400).append(ByteBuffer.allocate(1400)))
+                .isEqualTo(AppendResult.APPENDED);
+    }
+
     @Test
     void aBodyAboveItsLimitIsTooLong() {
         RequestBodyBuffer buffer = new RequestBodyBuffer(budget, 1000, UNKNOWN_LENGTH);
