--- a/coordination/src/main/java/burlarch/coordination/rollout/LoadConcurrency.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/LoadConcurrency.java
@@ -33,8 +33,8 @@
      *
      * @param serving number of engines that serve the model
      * @param overdue number of engines that still need an order and on whose weights no request may begin any more
-     * @param untilTargetNanos for each engine that still needs an order, the overdue ones included: time until it should
-     *     be done, the shortest first; may be negative
+     * @param untilTargetNanos for each engine that still needs an order, the overdue ones included: time until it
+     *     should be done, the shortest first; may be negative
      * @param agesNanos how long each loading engine has been loading; not negative
      */
     int maxConcurrentLoads(int serving, int overdue, long[] untilTargetNanos, long[] agesNanos) {
--- a/coordination/src/main/java/burlarch/coordination/rollout/RolloutWave.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/RolloutWave.java
@@ -10,8 +10,8 @@
 /**
  * One decision on which engines of one model start to load now. Each instance is used once.
  *
- * <p>Invariant <em>longest superseded first</em>: no engine starts to load before one that could start as well and whose
- * weights were superseded earlier. So each engine gets its turn, however quickly new versions are named.
+ * <p>Invariant <em>longest superseded first</em>: no engine starts to load before one that could start as well and
+ * whose weights were superseded earlier. So each engine gets its turn, however quickly new versions are named.
  */
 final class RolloutWave {
     /** The number of engines of one zone that serve the model, and of those that load. */
--- a/coordination/src/main/java/burlarch/coordination/rollout/VersionTimeline.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/VersionTimeline.java
@@ -9,8 +9,8 @@
  * When each version of one model's weights became known. Whoever still has a version is out of date since the first
  * newer one, however many have followed.
  *
- * <p>Invariant <em>never late</em>: the number of entries is bounded, and forgetting one can only move the time at which
- * a version was superseded to an earlier moment.
+ * <p>Invariant <em>never late</em>: the number of entries is bounded, and forgetting one can only move the time at
+ * which a version was superseded to an earlier moment.
  *
  * <p>Times are nanoseconds of one monotonic clock. Not thread-safe.
  */
--- a/node/src/main/java/burlarch/node/http/RequestBodyBudget.java
+++ b/node/src/main/java/burlarch/node/http/RequestBodyBudget.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Memory budget for the bodies of all open requests of one server, complete or not. Large bodies must leave a part of it
- * to small ones, so that uploads do not exclude ordinary requests. Thread-safe.
+ * Memory budget for the bodies of all open requests of one server, complete or not. Large bodies must leave a part of
+ * it to small ones, so that uploads do not exclude ordinary requests. Thread-safe.
  */
 public final class RequestBodyBudget {
     /** A body up to this size may use the whole budget. */
--- a/node/src/main/java/burlarch/node/http/RequestBodyBuffer.java
+++ b/node/src/main/java/burlarch/node/http/RequestBodyBuffer.java
@@ -4,11 +4,11 @@
 import java.util.Arrays;
 
 /**
- * The bytes of one request body, as far as they have arrived. A body whose declared length is large counts as large from
- * its first byte on.
+ * The bytes of one request body, as far as they have arrived. A body whose declared length is large counts as large
+ * from its first byte on.
  *
- * <p>Invariant <em>reserved before allocated</em>: the memory of the buffer is always reserved in the budget, from before
- * it is allocated until {@link #release}.
+ * <p>Invariant <em>reserved before allocated</em>: the memory of the buffer is always reserved in the budget, from
+ * before it is allocated until {@link #release}.
  *
  * <p>Thread-safe: a request may end on another thread while its body is still being read.
  */
--- a/router/src/main/java/burlarch/router/control/ConfigurationConfirmation.java
+++ b/router/src/main/java/burlarch/router/control/ConfigurationConfirmation.java
@@ -29,8 +29,8 @@
     private long requestedAtNanos;
     private boolean pending;
     /**
-     * The oldest version that is awaited; null if there is none. It is kept when a newer one is returned, so that versions
-     * in quick succession do not put off the confirmation.
+     * The oldest version that is awaited; null if there is none. It is kept when a newer one is returned, so that
+     * versions in quick succession do not put off the confirmation.
      */
     private AwaitedVersion oldestAwaited;
     /** The version that the newest response returned; null if none is awaited. */
