--- a/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
+++ b/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
@@ -10,7 +10,7 @@
 /** Shared state and services of all exchanges of one router. May be used on any thread. */
 public final class ForwardingContext {
     /** Maximum total size of the bodies of all requests, those that are still arriving included. */
-    private static final long MAX_TOTAL_BODY_BYTES = 16L << 20;
+    private static final long MAX_TOTAL_BODY_BYTES = 20L << 20;
     /** Part of it that uploads leave to ordinary requests. */
     private static final long SMALL_BODIES_BYTES = 4L << 20;
 
