--- a/router/src/main/java/burlarch/router/server/RequestBodyReader.java
+++ b/router/src/main/java/burlarch/router/server/RequestBodyReader.java
@@ -2,6 +2,7 @@
 
 import burlarch.node.http.RequestBodyBudget;
 import burlarch.node.http.RequestBodyBuffer;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.io.Content;
@@ -10,8 +11,9 @@
 
 /**
  * Non-blocking reader of the complete body of one request, up to a size limit and within the memory budget of all
- * bodies. If the budget has no room for bytes that have arrived, the body is dropped and its rest is read without being
- * stored. Runs on Jetty's threads, one call after another; {@link #release} may be called on any thread.
+ * bodies. If the budget has no room for bytes that have arrived, the body is dropped and its rest is read without
+ * being stored, up to the size limit again. Runs on Jetty's threads, one call after another; {@link #release} may be
+ * called on any thread.
  */
 public final class RequestBodyReader implements Invocable.Task {
     /** Receives the result; exactly one of the methods is called, once. */
@@ -25,7 +27,8 @@
         /**
          * Called if the budget has no room for the body.
          *
-         * @param restDropped completes when the rest of the body has been read; fails if it did not arrive
+         * @param restDropped completes when the rest of the body has been read; fails if it did not arrive or is too
+         *     long
          */
         void onNoRoom(CompletableFuture<Void> restDropped);
 
@@ -34,14 +37,18 @@
     }
 
     private final Request request;
+    private final int maxBytes;
     private final RequestBodyBuffer buffer;
     private final Listener listener;
     /** Null as long as the body is stored. */
     private CompletableFuture<Void> restDropped;
 
+    private long droppedBytes;
+
     /** Creates a reader that has not started; {@link #run} starts it. */
     public RequestBodyReader(Request request, int maxBytes, RequestBodyBudget budget, Listener listener) {
         this.request = request;
+        this.maxBytes = maxBytes;
         this.buffer = new RequestBodyBuffer(budget, maxBytes, request.getLength());
         this.listener = listener;
     }
@@ -70,9 +77,10 @@
                 return;
             }
             boolean last = chunk.isLast();
-            boolean tooLong = !store(chunk);
-            if (tooLong) {
-                listener.onTooLarge();
+            boolean fits = restDropped == null ? store(chunk.getByteBuffer()) : drop(chunk.getByteBuffer());
+            chunk.release();
+            if (!fits) {
+                onTooLong();
                 return;
             }
             if (last) {
@@ -82,11 +90,9 @@
         }
     }
 
-    /** Stores or drops the bytes of a chunk and releases it. Returns false if the size limit is exceeded. */
-    private boolean store(Content.Chunk chunk) {
-        RequestBodyBuffer.AppendResult result =
-                restDropped == null ? buffer.append(chunk.getByteBuffer()) : RequestBodyBuffer.AppendResult.APPENDED;
-        chunk.release();
+    /** Stores the bytes of a chunk if there is room for them. Returns false if the size limit is exceeded. */
+    private boolean store(ByteBuffer bytes) {
+        RequestBodyBuffer.AppendResult result = buffer.append(bytes);
         if (result == RequestBodyBuffer.AppendResult.NO_ROOM) {
             restDropped = new CompletableFuture<>();
             buffer.release();
@@ -95,6 +101,20 @@
         return result != RequestBodyBuffer.AppendResult.TOO_LONG;
     }
 
+    /** Counts the bytes of a chunk that is not stored. Returns false if the size limit is exceeded. */
+    private boolean drop(ByteBuffer bytes) {
+        droppedBytes += bytes.remaining();
+        return droppedBytes <= maxBytes;
+    }
+
+    private void onTooLong() {
+        if (restDropped == null) {
+            listener.onTooLarge();
+        } else {
+            restDropped.completeExceptionally(new IOException("the body is longer than " + maxBytes + " bytes"));
+        }
+    }
+
     private void onLast() {
         if (restDropped == null) {
             listener.onBody(buffer.content());
--- a/router/src/test/java/burlarch/router/ManyUploadsTest.java
+++ b/router/src/test/java/burlarch/router/ManyUploadsTest.java
@@ -4,7 +4,10 @@
 import static burlarch.router.ScriptedEngine.completeResponse;
 import static burlarch.router.ScriptedEngine.latin1;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import burlarch.node.http.RequestBodyBudget;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +22,8 @@
     /** The part of a router's budget that large bodies may use, in these halves. */
     private static final int MAX_HALVES_STORED = (16 << 20) / (UPLOAD_BYTES / 2);
 
+    private static final int LARGE_UPLOADS_STORED = (16 << 20) / UPLOAD_BYTES;
+
     private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     private final List<RawClient> uploaders = new ArrayList<>();
@@ -87,6 +92,39 @@
         awaitServedUploads(3);
     }
 
+    /** Guards against a connection on which a rejected body without an end is read for ever. */
+    @Test
+    void aRejectedBodyIsNotReadBeyondItsLimit() throws Exception {
+        String allButOneByte = "y".repeat(UPLOAD_BYTES - 1);
+        for (int i = 0; i < LARGE_UPLOADS_STORED; i++) {
+            uploaders.get(i).send(head("upload-" + i) + allButOneByte);
+        }
+        awaitNoRoomForLargeBodies();
+        try (RawClient endless = fixture.client()) {
+            endless.send(request("POST", "/once/a", "endless", "Transfer-Encoding: chunked\r\n", ""));
+            String chunk = "10000\r\n" + "y".repeat(0x10000) + "\r\n";
+            assertThatThrownBy(() -> {
+                        for (int i = 0; i < 16 * UPLOAD_BYTES / 0x10000; i++) {
+                            endless.send(chunk);
+                        }
+                    })
+                    .isInstanceOf(IOException.class);
+        }
+    }
+
+    private void awaitNoRoomForLargeBodies() throws Exception {
+        long startNanos = System.nanoTime();
+        String body = "y".repeat(2 * RequestBodyBudget.SMALL_BODY_BYTES);
+        int status = 0;
+        while (status != 503) {
+            assertThat(System.nanoTime() - startNanos).isLessThan(TIMEOUT_NANOS);
+            try (RawClient client = fixture.client()) {
+                status = client.exchange(request("POST", "/once/a", "probe", "", body))
+                        .status();
+            }
+        }
+    }
+
     private void sendFirstHalves() throws Exception {
         String half = "y".repeat(UPLOAD_BYTES / 2);
         for (int i = 0; i < UPLOADS; i++) {
