--- a/coordination/src/main/java/burlarch/coordination/rollout/RolloutWave.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/RolloutWave.java
@@ -63,8 +63,12 @@
         outdated.sort(Comparator.comparingLong(engine -> engine.supersededAtNanos() - nowNanos));
         int maxConcurrent = maxConcurrentLoads();
         int started = 0;
-        while (!startable.isEmpty() && mayStart(nextToStart(), loading.size() + started, maxConcurrent)) {
-            start(nextToStart());
+        while (!startable.isEmpty()) {
+            OutdatedEngine next = nextToStart();
+            if (!mayStart(next, loading.size() + started, maxConcurrent)) {
+                break;
+            }
+            start(next);
             started++;
         }
         return started < outdated.size();
