--- a/review/standins-2/review/Fleet.java
+++ b/review/standins-2/review/Fleet.java
@@ -169,7 +169,8 @@
         }
     }
 
-    private boolean isReady(int index) {
+    /** Asks a router, counted from 1, whether it is ready. */
+    boolean isReady(int index) {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(network.router(index), LoopbackNetwork.READINESS_PORT), 500);
             socket.setSoTimeout(1000);
--- a/review/standins-2/review/FleetClient.java
+++ b/review/standins-2/review/FleetClient.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 
 /** A client of the fleet: each try has an id and a connection of its own. */
@@ -22,14 +23,16 @@
      *
      * @param status of the answer; 0 if the connection ended without one
      * @param complete whether the whole answer arrived
+     * @param timedOut whether the client waited in vain until its deadline
      */
-    record Answer(int status, boolean complete) {}
+    record Answer(int status, boolean complete, boolean timedOut) {}
 
     /** Sends one try and waits for its answer. */
     Answer send(
             InetSocketAddress router, String host, String path, String requestId, long deadlineMillis, String fields) {
         int status = 0;
         boolean complete = false;
+        boolean timedOut = false;
         record.add("client sends request %s to %s", requestId, router.getHostString());
         try (Socket socket = new Socket()) {
             socket.connect(router, CONNECT_MILLIS);
@@ -46,10 +49,12 @@
                 answer.readResponseBody(in);
                 complete = true;
             }
+        } catch (SocketTimeoutException late) {
+            timedOut = true;
         } catch (IOException brokenOff) {
             // The answer stays incomplete.
         }
         record.add("client got %d for request %s%s", status, requestId, complete ? "" : ", not whole");
-        return new Answer(status, complete);
+        return new Answer(status, complete, timedOut);
     }
 }
