--- a/review/standins-2/review/FleetProcess.java
+++ b/review/standins-2/review/FleetProcess.java
@@ -16,6 +16,7 @@
     private final Path settings;
     private final Path log;
     private Process process;
+    private boolean endedForGood;
 
     FleetProcess(String name, String role, Path settings, Path log) throws IOException {
         this.name = name;
@@ -39,7 +40,11 @@
         return name;
     }
 
+    /** Starts the process, unless it was ended for good. */
     synchronized void start() throws IOException {
+        if (endedForGood) {
+            return;
+        }
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("BURLARCH_NODE_FILE", settings.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
@@ -57,6 +62,12 @@
         }
     }
 
+    /** Sends SIGKILL; the process can't be started again. */
+    synchronized void endForGood() {
+        endedForGood = true;
+        kill();
+    }
+
     /** Sends a signal by its name, as STOP, CONT or TERM. */
     synchronized void signal(String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
