--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -88,6 +88,7 @@
             long signalledAtNanos = System.nanoTime();
             server.drain().join();
             membership.leaveWithinTimeout();
+            server.closeClientConnections();
             Logger.info(
                     "router ends: node={} elapsedMillis={}",
                     settings.nodeName(),
--- a/router/src/main/java/burlarch/router/RouterServer.java
+++ b/router/src/main/java/burlarch/router/RouterServer.java
@@ -5,6 +5,7 @@
 import burlarch.configuration.RouteTable;
 import burlarch.engine.DelayedExecutor;
 import burlarch.engine.EngineHttpClientFactory;
+import burlarch.node.http.ConnectorShutdown;
 import burlarch.router.forwarding.CredentialValidity;
 import burlarch.router.forwarding.Exchange;
 import burlarch.router.forwarding.ForwardingContext;
@@ -217,7 +218,7 @@
 
     /**
      * Starts the graceful shutdown. The result completes when no request is in flight or the drain schedule is over;
-     * then {@link #close} may be called.
+     * no request is forwarded after that, and {@link #close} or {@link #closeClientConnections} may be called.
      */
     public CompletableFuture<Void> drain() {
         return drain(settings.drainSchedule());
@@ -234,6 +235,14 @@
         return drained;
     }
 
+    /**
+     * Closes the connections of all clients, so that none waits for the exit of the process. Must be called after the
+     * {@linkplain #drain() drain}.
+     */
+    void closeClientConnections() {
+        ConnectorShutdown.closeConnections(clientConnector);
+    }
+
     @Override
     public void close() throws Exception {
         client.stop();
--- a/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
+++ b/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
@@ -150,7 +150,9 @@
 
     private NextAttempt nextAttempt() {
         int maxAttempts = Math.max(1, routedRequest.route().retries());
-        if (attemptCount >= maxAttempts || remainingNanos() <= 0) {
+        if (attemptCount >= maxAttempts
+                || remainingNanos() <= 0
+                || context.drain().isOver()) {
             return NextAttempt.NONE;
         }
         return eventAssembler != null && eventAssembler.canResume()
--- a/router/src/main/java/burlarch/router/lifecycle/DrainState.java
+++ b/router/src/main/java/burlarch/router/lifecycle/DrainState.java
@@ -27,4 +27,10 @@
         Drain started = drain;
         return started == null || started.accepts(deadlineNanos);
     }
+
+    /** Whether the drain is over, so that no request may be sent to an instance any more. */
+    public boolean isOver() {
+        Drain started = drain;
+        return started != null && started.isOver();
+    }
 }
--- a/router/src/main/java/burlarch/router/lifecycle/InFlightRequests.java
+++ b/router/src/main/java/burlarch/router/lifecycle/InFlightRequests.java
@@ -10,9 +10,14 @@
  * Set of the client connections with a request in flight. A request is in flight from the receipt of its head until
  * the last byte of its response is written. A connection carries one request at a time, so the set is bounded by the
  * number of connections. May be called on any thread; guarded by this.
+ *
+ * <p>Invariant <em>nothing is forwarded after the end</em>: once the set is closed, {@link #isClosed} is true for each
+ * request that begins, and no such request may be forwarded. If it was closed by {@link #closeIfEmpty}, each request
+ * that was forwarded has its complete response.
  */
 public final class InFlightRequests {
     private final Set<EndPoint> inFlight = new HashSet<>();
+    private boolean closed;
 
     /** Called when the head of a request has been received. */
     public synchronized void begin(EndPoint endPoint) {
@@ -29,6 +34,22 @@
         return inFlight.size();
     }
 
+    /** Closes the set if no request is in flight. Returns whether it is closed. */
+    synchronized boolean closeIfEmpty() {
+        closed |= inFlight.isEmpty();
+        return closed;
+    }
+
+    /** Closes the set even if requests are in flight. */
+    synchronized void close() {
+        closed = true;
+    }
+
+    /** Whether no request may be forwarded any more. */
+    synchronized boolean isClosed() {
+        return closed;
+    }
+
     /**
      * Closes the connections that are idle between two requests. A new connection may still send its first request.
      * A request that arrives at the same moment on a connection being closed finds the connection closed when it
--- a/router/src/test/java/burlarch/router/DrainTest.java
+++ b/router/src/test/java/burlarch/router/DrainTest.java
@@ -3,9 +3,12 @@
 import static burlarch.router.RouterFixture.request;
 import static burlarch.router.ScriptedEngine.completeResponse;
 import static burlarch.router.ScriptedEngine.latin1;
+import static burlarch.router.ScriptedEngine.responseHead;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import burlarch.router.lifecycle.DrainSchedule;
+import java.net.ConnectException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -136,4 +139,49 @@
             testEnd.countDown();
         }
     }
+
+    /** Guards against requests that are forwarded although the drain is over and the process is about to end (LOST). */
+    @Test
+    void requestAfterTheDrainIsRejected() throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine(delayingSlowRequestsUntil(new CountDownLatch(0)));
+                RouterFixture fixture = new RouterFixture(engine);
+                RawClient unused = fixture.client()) {
+            fixture.router.drain(REJECTING_LONG_REQUESTS).get(5, TimeUnit.SECONDS);
+            RawClient.Response rejection = unused.exchange(request("POST", "/once/a", "late", "", "x"));
+            assertThat(rejection.status()).isEqualTo(503);
+            assertThat(rejection.header("Retry-After")).isNotNull();
+            assertThat(rejection.header("Connection")).isEqualTo("close");
+            assertThat(engine.requests()).isZero();
+        }
+    }
+
+    /** Guards against connections that nobody serves: accepted by the system alone while the process ends. */
+    @Test
+    void connectionAfterTheDrainIsRefused() throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine(delayingSlowRequestsUntil(new CountDownLatch(0)));
+                RouterFixture fixture = new RouterFixture(engine)) {
+            fixture.router.drain(REJECTING_LONG_REQUESTS).get(5, TimeUnit.SECONDS);
+            assertThatThrownBy(fixture::client).isInstanceOf(ConnectException.class);
+        }
+    }
+
+    /** Guards against a retry that is sent although the drain is over and the process is about to end (LOST). */
+    @Test
+    void rejectedRequestIsNotRetriedAfterTheDrain() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedEngine.Script rejectingLate = (received, socket, output) -> {
+            release.await();
+            output.write(latin1(responseHead(received, 503, "X-Not-Executed: 1\r\nContent-Length: 0\r\n")));
+        };
+        try (ScriptedEngine engine = new ScriptedEngine(rejectingLate);
+                RouterFixture fixture = new RouterFixture(engine);
+                RawClient client = fixture.client()) {
+            client.send(request("POST", "/once/a", "id", "", "x"));
+            engine.nextRequest();
+            fixture.router.drain(ENDED_AT_ONCE).get(5, TimeUnit.SECONDS);
+            release.countDown();
+            assertThat(client.readResponse().status()).isEqualTo(503);
+            assertThat(engine.requests()).isEqualTo(1);
+        }
+    }
 }
