--- a/controller/src/main/java/burlarch/controller/ControllerProgram.java
+++ b/controller/src/main/java/burlarch/controller/ControllerProgram.java
@@ -155,7 +155,9 @@
         ShutdownHook.onSignal(() -> {
             router.awaitEnd();
             server.stopAccepting();
+            server.endCalls();
             membership.leaveWithinTimeout();
+            server.closeConnections();
         });
         Logger.info(
                 "controller listening: node={} control={}",
--- a/controller/src/main/java/burlarch/controller/api/ControlCallHandler.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlCallHandler.java
@@ -1,5 +1,8 @@
 package burlarch.controller.api;
 
+import burlarch.controller.error.ControlException;
+import burlarch.controller.error.ErrorKind;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -10,6 +13,7 @@
  * and never blocks.
  */
 abstract class ControlCallHandler extends Handler.Abstract.NonBlocking {
+    private final PendingCalls pendingCalls = new PendingCalls();
     private volatile boolean draining;
 
     /** Starts draining: from now on each connection closes after its next response. */
@@ -17,11 +21,27 @@
         draining = true;
     }
 
+    /**
+     * Rejects each further call with 503.
+     *
+     * @return completes when the response to each call that was read before is written
+     */
+    final CompletableFuture<Void> endCalls() {
+        draining = true;
+        return pendingCalls.close();
+    }
+
     @Override
     public final boolean handle(Request request, Response response, Callback callback) {
+        boolean hasBegun = pendingCalls.begin();
         ControlExchange.Connection connectionAfterResponse =
                 draining ? ControlExchange.Connection.CLOSE : ControlExchange.Connection.KEEP_OPEN;
-        ControlExchange exchange = new ControlExchange(request, response, callback, connectionAfterResponse);
+        Callback whenWritten = hasBegun ? Callback.from(callback, pendingCalls::end) : callback;
+        ControlExchange exchange = new ControlExchange(request, response, whenWritten, connectionAfterResponse);
+        if (!hasBegun) {
+            exchange.fail(new ControlException(ErrorKind.DRAINING));
+            return true;
+        }
         try {
             dispatch(request, exchange);
         } catch (RuntimeException failure) {
--- a/controller/src/main/java/burlarch/controller/api/ControlServer.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlServer.java
@@ -1,19 +1,20 @@
 package burlarch.controller.api;
 
+import burlarch.node.http.ConnectorShutdown;
 import burlarch.node.http.RequestBodyBudget;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.util.IO;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.tinylog.Logger;
 
 /**
  * HTTP server of the control API, which operators and instances call at the {@code control} address. Methods may be
@@ -27,6 +28,8 @@
     private static final int BACKLOG = 256;
     private static final int MAX_CONNECTIONS = 1024;
     private static final long IDLE_TIMEOUT_MILLIS = TimeUnit.SECONDS.toMillis(30);
+    /** Longest wait for pending calls at the shutdown: callers wait no longer for a response. */
+    private static final long MAX_CALL_WAIT_MILLIS = 1000;
 
     private final Server server;
     private final ServerConnector connector;
@@ -101,14 +104,28 @@
      */
     public void stopAccepting() {
         handler.drain();
-        // Without acceptor threads, the connector's own close leaves the server socket open.
-        IO.close((ServerSocketChannel) connector.getTransport());
-        // The socket keeps listening until its selector runs once more, so wake the selector.
-        for (ManagedSelector selector : connector.getContainedBeans(ManagedSelector.class)) {
-            selector.submit(ignored -> {});
+        ConnectorShutdown.stopListening(connector);
+    }
+
+    /**
+     * Rejects further calls with 503, and blocks until the calls that were read before are answered, at most
+     * {@value #MAX_CALL_WAIT_MILLIS} ms. Returns early if the thread is interrupted.
+     */
+    public void endCalls() {
+        try {
+            handler.endCalls().get(MAX_CALL_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException unanswered) {
+            Logger.info("control calls still pending at shutdown: waitedMillis={}", MAX_CALL_WAIT_MILLIS);
         }
     }
 
+    /** Closes all connections at once, so that no caller waits for the exit of the process. */
+    public void closeConnections() {
+        ConnectorShutdown.closeConnections(connector);
+    }
+
     /**
      * Closes all connections and stops all threads.
      *
--- a/controller/src/main/java/burlarch/controller/redirect/ControlRedirectorProgram.java
+++ b/controller/src/main/java/burlarch/controller/redirect/ControlRedirectorProgram.java
@@ -46,7 +46,9 @@
         ShutdownHook.onSignal(() -> {
             router.awaitEnd();
             server.stopAccepting();
+            server.endCalls();
             membership.leaveWithinTimeout();
+            server.closeConnections();
         });
         Logger.info(
                 "control redirector listening: node={} control={}",
--- a/controller/src/test/java/burlarch/controller/api/ControlServerTest.java
+++ b/controller/src/test/java/burlarch/controller/api/ControlServerTest.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -384,6 +385,37 @@
         }
     }
 
+    /** Guards against a process that ends before the calls that it has read are answered. */
+    @Test
+    void shutdownWaitsForTheResponseToAPendingCall() throws Exception {
+        service.result = new CompletableFuture<>();
+        try (Peer peer = new Peer()) {
+            peer.send("DELETE /burlarch/instances/i-1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            awaitCondition(() -> service.calls.contains("leave i-1"));
+            server.stopAccepting();
+            CompletableFuture<Void> ended = CompletableFuture.runAsync(server::endCalls);
+            assertThatThrownBy(() -> ended.get(100, TimeUnit.MILLISECONDS)).isInstanceOf(TimeoutException.class);
+            service.result.complete(null);
+            ended.get(10, TimeUnit.SECONDS);
+            server.closeConnections();
+            assertThat(peer.status()).isEqualTo(200);
+        }
+    }
+
+    /** Guards against a change that is begun and not answered, as the process ends. */
+    @Test
+    void callAfterTheEndOfTheCallsIsRejected() throws Exception {
+        try (Peer peer = new Peer()) {
+            peer.send("DELETE /burlarch/instances/i-1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertThat(peer.status()).isEqualTo(200);
+            server.endCalls();
+            peer.send("DELETE /burlarch/instances/i-2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertThat(peer.status()).isEqualTo(503);
+            assertThat(peer.head()).contains("Retry-After").contains("Connection: close");
+            assertThat(service.calls).containsExactly("leave i-1");
+        }
+    }
+
     private static void awaitCondition(BooleanSupplier condition) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
         while (!condition.getAsBoolean()) {
