--- a/router/src/main/java/burlarch/router/forwarding/Attempt.java
+++ b/router/src/main/java/burlarch/router/forwarding/Attempt.java
@@ -2,6 +2,7 @@
 
 import burlarch.router.http.Headers;
 import burlarch.router.http.HintHeaders;
+import burlarch.router.upstream.RequestConnections;
 import burlarch.router.upstream.SendState;
 import burlarch.router.upstream.UpstreamCall;
 import burlarch.router.upstream.UpstreamClient;
@@ -104,9 +105,10 @@
      *
      * @param message head and body of the request
      * @param method HTTP method of the request
+     * @param requestConnections connections over which earlier attempts of the request were sent
      */
-    void send(UpstreamClient client, ByteBuffer[] message, String method) {
-        call = new UpstreamCall(placement.instance().address(), message, method, this);
+    void send(UpstreamClient client, ByteBuffer[] message, String method, RequestConnections requestConnections) {
+        call = new UpstreamCall(placement.instance().address(), message, method, requestConnections, this);
         client.send(call);
     }
 
--- a/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
+++ b/router/src/main/java/burlarch/router/forwarding/AttemptSequence.java
@@ -2,6 +2,7 @@
 
 import burlarch.router.forwarding.ExchangeState.NextAttempt;
 import burlarch.router.http.Headers;
+import burlarch.router.upstream.RequestConnections;
 import burlarch.routing.AttemptOutcome;
 import burlarch.routing.Placement;
 import burlarch.routing.RouteRequest;
@@ -24,6 +25,7 @@
     private final ForwardedRequestHead head;
     private final String method;
     private final ByteBuffer body;
+    private final RequestConnections requestConnections = new RequestConnections();
     /** The attempt in flight, or null. */
     private Attempt currentAttempt;
 
@@ -75,7 +77,7 @@
         ByteBuffer encodedHead = head.encode(request, send, body.remaining(), resumeAfterEventId, System.nanoTime());
         ByteBuffer[] message =
                 body.hasRemaining() ? new ByteBuffer[] {encodedHead, body.slice()} : new ByteBuffer[] {encodedHead};
-        currentAttempt.send(context.client(), message, method);
+        currentAttempt.send(context.client(), message, method, requestConnections);
     }
 
     /** Returns a copy of the request that is marked as resuming a stream. */
--- a/router/src/main/java/burlarch/router/upstream/UpstreamCall.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamCall.java
@@ -11,6 +11,7 @@
     private final String address;
     private final ByteBuffer[] message;
     private final boolean headMethod;
+    private final RequestConnections requestConnections;
     private final UpstreamListener listener;
     private UpstreamConnection connection;
     private boolean ended;
@@ -21,11 +22,18 @@
      * @param address IP:PORT of the instance
      * @param message head and body of the request; consumed by the write
      * @param method HTTP method of the request; a response to HEAD has no body
+     * @param requestConnections connections over which the request was sent already; shared by all calls of the request
      */
-    public UpstreamCall(String address, ByteBuffer[] message, String method, UpstreamListener listener) {
+    public UpstreamCall(
+            String address,
+            ByteBuffer[] message,
+            String method,
+            RequestConnections requestConnections,
+            UpstreamListener listener) {
         this.address = address;
         this.message = message;
         this.headMethod = HttpMethod.HEAD.is(method);
+        this.requestConnections = requestConnections;
         this.listener = listener;
     }
 
@@ -65,12 +73,18 @@
         return listener;
     }
 
+    /** Whether the request was sent over the given connection before. */
+    boolean wasSentOver(UpstreamConnection candidate) {
+        return requestConnections.contains(candidate);
+    }
+
     /** Assigns the call to the connection that will write it. Returns false if the call has already ended. */
     synchronized boolean assignTo(UpstreamConnection newConnection) {
         if (ended) {
             return false;
         }
         connection = newConnection;
+        requestConnections.add(newConnection);
         return true;
     }
 
--- a/router/src/main/java/burlarch/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamClient.java
@@ -65,12 +65,12 @@
 
     /** Sends a call over an idle or a new connection. Its listener may be called before this method returns. */
     public void send(UpstreamCall call) {
-        UpstreamConnection idleConnection = pool.take(call.address(), System.nanoTime());
+        UpstreamConnection idleConnection = pool.take(call, System.nanoTime());
         while (idleConnection != null) {
             if (idleConnection.send(call)) {
                 return;
             }
-            idleConnection = pool.take(call.address(), System.nanoTime());
+            idleConnection = pool.take(call, System.nanoTime());
         }
         connect(call);
     }
--- a/router/src/main/java/burlarch/router/upstream/UpstreamConnectionPool.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamConnectionPool.java
@@ -49,24 +49,35 @@
         return executor;
     }
 
-    /** Takes a connection that has not expired out of the pool; null if there is none. Closes expired ones. */
-    UpstreamConnection take(String address, long nowNanos) {
+    /**
+     * Takes a connection for a call out of the pool: one that has not expired and has not carried the call's request
+     * before. Closes expired ones.
+     *
+     * @return null if there is none
+     */
+    UpstreamConnection take(UpstreamCall call, long nowNanos) {
         List<UpstreamConnection> expired = new ArrayList<>(0);
-        UpstreamConnection taken = take(address, nowNanos, expired);
+        UpstreamConnection taken = take(call, nowNanos, expired);
         expired.forEach(UpstreamConnection::closeIfIdle);
         return taken;
     }
 
-    private synchronized UpstreamConnection take(String address, long nowNanos, List<UpstreamConnection> expired) {
-        ArrayDeque<IdleConnection> stack = idleByAddress.get(address);
-        long limitNanos = stack == null ? 0 : idleTimeouts.limitNanos(address, nowNanos);
-        while (stack != null && !stack.isEmpty()) {
-            IdleConnection idle = stack.pop();
-            if (!idle.hasExpired(nowNanos) && idle.idleNanos(nowNanos) < limitNanos) {
+    private synchronized UpstreamConnection take(UpstreamCall call, long nowNanos, List<UpstreamConnection> expired) {
+        ArrayDeque<IdleConnection> stack = idleByAddress.get(call.address());
+        if (stack == null) {
+            return null;
+        }
+        long limitNanos = idleTimeouts.limitNanos(call.address(), nowNanos);
+        for (Iterator<IdleConnection> connections = stack.iterator(); connections.hasNext(); ) {
+            IdleConnection idle = connections.next();
+            if (idle.hasExpired(nowNanos) || idle.idleNanos(nowNanos) >= limitNanos) {
+                expired.add(idle.connection());
+                connections.remove();
+            } else if (!call.wasSentOver(idle.connection())) {
                 idle.connection().onTakenFromPool(idle.idleNanos(nowNanos));
+                connections.remove();
                 return idle.connection();
             }
-            expired.add(idle.connection());
         }
         return null;
     }
