--- a/coordination/src/main/java/burlarch/coordination/rollout/EngineRollout.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/EngineRollout.java
@@ -22,6 +22,7 @@
  * WITHDRAWN         it needs no order any more, drains or is gone; ownership lost    IDLE              ClearLoading
  * ORDERED           result ACCEPTED, CONFLICT or NO_RESPONSE; response time-out;
  *                   ownership lost                                                   UNCONFIRMED
+ * IDLE              it announces older weights than it had; once per interval        IDLE              RequestReport
  * ORDERED           result FENCED, INVALID or MISDIRECTED                            IDLE              ClearLoading
  * UNCONFIRMED       the next report is due                                           REPORT_REQUESTED  RequestReport
  * REPORT_REQUESTED  response time-out                                                REPORT_REQUESTED  RequestReport
@@ -44,6 +45,11 @@
  *       previous order was not accepted. The report must be younger than the result of that order by at least the
  *       staleness of reports, and the new order expects the report's sequence, so that it is rejected if the previous
  *       order is accepted late.
+ *   <li><em>A late order is rejected</em>: each order, the first one included, expects the number of orders that the
+ *       engine has accepted according to all results and reports. An order that arrives after a newer one was accepted
+ *       expects too few.
+ *   <li><em>Older weights are found</em>: an engine without an order that announces older weights than it had is asked
+ *       for a report, and receives an order again if the report confirms it.
  * </ul>
  */
 final class EngineRollout {
@@ -88,6 +94,10 @@
     private static final double FIRST_REPORT_FRACTION = 0.9;
     /** An engine serves again after that many loads, so that it is not withdrawn for long by versions in succession. */
     private static final int MAX_LOADS_WHILE_WITHDRAWN = 2;
+    /** How long announcements may lag behind a load that is already known: heartbeats may be late by seconds. */
+    private static final long ANNOUNCEMENT_LAG_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** The shortest time between two reports that verify the weights of an engine without an order. */
+    private static final long VERIFICATION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final RolloutSettings settings;
     private final RolloutOwnership ownership;
@@ -99,7 +109,10 @@
     private RolloutTarget target;
     private long version;
     private long fencingToken;
-    private long expectedSequence = SendOrder.ANY_SEQUENCE;
+    /** Number of orders that the engine has accepted since its start; it may be higher unless it was observed. */
+    private long acceptedOrders;
+    /** Whether a result or a report has shown {@link #acceptedOrders}; no other process has sent an order since. */
+    private boolean acceptedOrdersObserved;
     /** Number of orders sent since the engine was withdrawn; 0 for an adopted engine. */
     private int attempts;
     /** Number of loads since the engine was withdrawn, the present one included; 0 for an adopted engine. */
@@ -112,6 +125,10 @@
 
     private long reportAtNanos;
     private long reportRequestedAtNanos;
+    /** Whether the registrations show older weights than the engine is known to have. */
+    private boolean suspectsOlderWeights;
+
+    private long nextVerificationAtNanos;
 
     /**
      * Creates the state of an engine without an order.
@@ -127,9 +144,10 @@
         this.settings = settings;
         this.ownership = ownership;
         this.actions = actions;
-        this.status = new EngineStatus(instance);
+        this.status = new EngineStatus(instance, nowNanos);
         this.nextOrderNotBeforeNanos = nowNanos;
         this.clearedAtNanos = nowNanos - SNAPSHOT_LAG_NANOS;
+        this.nextVerificationAtNanos = nowNanos;
     }
 
     EngineStatus status() {
@@ -211,8 +229,14 @@
         awaitConfirmation(nowNanos - settings.reportStalenessNanos(), nowNanos);
     }
 
+    /** Returns whether a report has to show whether the engine has gone back to older weights. */
+    boolean awaitsVerification() {
+        return phase == Phase.IDLE && suspectsOlderWeights;
+    }
+
     /** Handles a change of the registrations. */
     void onStatusChanged(long nowNanos) {
+        suspectsOlderWeights = announcesOlderWeights(nowNanos);
         if (isOrderOut() && isOrderedVersionLoaded()) {
             finish(nowNanos);
         } else if (phase == Phase.WITHDRAWN && !status.serves(target)) {
@@ -247,18 +271,42 @@
             return false;
         }
         switch (result) {
-            case ACCEPTED -> awaitConfirmation(nowNanos, firstReportAtNanos(nowNanos));
+            case ACCEPTED -> {
+                observeAcceptedOrders(acceptedOrders + 1);
+                awaitConfirmation(nowNanos, firstReportAtNanos(nowNanos));
+            }
             case ALREADY_LOADED -> {
-                status.onVersion(target.model, version);
+                status.onVersion(target.model, version, nowNanos);
                 finish(nowNanos);
             }
             case FENCED -> abandon(nowNanos, 0);
             case INVALID, MISDIRECTED -> abandon(nowNanos, REJECTED_PAUSE_NANOS);
-            case CONFLICT, NO_RESPONSE -> awaitConfirmation(nowNanos, nowNanos + settings.reportStalenessNanos());
+            case CONFLICT -> onConflict(nowNanos);
+            case NO_RESPONSE -> {
+                acceptedOrdersObserved = false;
+                awaitConfirmation(nowNanos, nowNanos + settings.reportStalenessNanos());
+            }
         }
         return result == OrderResult.FENCED && fencingToken == ownership.fencingToken();
     }
 
+    /**
+     * Handles the rejection of an order: if the expected sequence was not observed, the engine has probably accepted
+     * orders of a previous owner, and any report shows the sequence.
+     */
+    private void onConflict(long nowNanos) {
+        if (acceptedOrdersObserved) {
+            awaitConfirmation(nowNanos, nowNanos + settings.reportStalenessNanos());
+        } else {
+            awaitConfirmation(nowNanos - settings.reportStalenessNanos(), nowNanos);
+        }
+    }
+
+    private void observeAcceptedOrders(long count) {
+        acceptedOrders = count;
+        acceptedOrdersObserved = true;
+    }
+
     /**
      * Handles the response to a report request.
      *
@@ -271,8 +319,14 @@
         if (report.isEmpty()) {
             return;
         }
-        status.onModels(report.get().models());
+        observeAcceptedOrders(Math.max(acceptedOrders, report.get().orderSequence()));
         status.onRunningRequests(report.get().runningRequests());
+        if (phase == Phase.IDLE && !report.get().busy()) {
+            long describedAtNanos = reportRequestedAtNanos - settings.reportStalenessNanos();
+            status.onVerifiedModels(report.get().models(), describedAtNanos, nowNanos);
+        } else {
+            status.onModels(report.get().models(), nowNanos);
+        }
         if (phase == Phase.UNCONFIRMED && !report.get().busy()) {
             onNotBusy(report.get().orderSequence(), requested, nowNanos);
         }
@@ -280,6 +334,7 @@
 
     /** Performs the actions that are due. */
     void proceed(long nowNanos) {
+        suspectsOlderWeights &= announcesOlderWeights(nowNanos);
         if (phase == Phase.ORDERED && nowNanos - sentAtNanos >= RESPONSE_TIMEOUT_NANOS) {
             awaitConfirmation(nowNanos, nowNanos);
         }
@@ -290,13 +345,19 @@
             sendOrder(nowNanos);
         } else if (isUnconfirmed() && nowNanos - nextReportAtNanos() >= 0) {
             requestReport(nowNanos);
+        } else if (awaitsVerification() && nowNanos - nextVerificationAtNanos >= 0) {
+            nextVerificationAtNanos = nowNanos + VERIFICATION_INTERVAL_NANOS;
+            requestReport(nowNanos);
         }
     }
 
     /** Returns the time at which {@link #proceed} has something to do; empty if there is none. */
     OptionalLong nextDueAtNanos() {
         return switch (phase) {
-            case IDLE, LOADED -> OptionalLong.empty();
+            case IDLE -> mayAct() && awaitsVerification()
+                    ? OptionalLong.of(nextVerificationAtNanos)
+                    : OptionalLong.empty();
+            case LOADED -> OptionalLong.empty();
             case WITHDRAWN -> mayAct() ? OptionalLong.of(orderAtNanos) : OptionalLong.empty();
             case ORDERED -> OptionalLong.of(sentAtNanos + RESPONSE_TIMEOUT_NANOS);
             case UNCONFIRMED, REPORT_REQUESTED -> mayAct()
@@ -316,6 +377,10 @@
         return ownership.isHeld() && status.isPresent();
     }
 
+    private boolean announcesOlderWeights(long nowNanos) {
+        return status.announcesOlderThanKnownFor(ANNOUNCEMENT_LAG_NANOS, nowNanos);
+    }
+
     private boolean isUnconfirmed() {
         return phase == Phase.UNCONFIRMED || phase == Phase.REPORT_REQUESTED;
     }
@@ -330,7 +395,7 @@
 
     private long firstReportAtNanos(long nowNanos) {
         long earliestNanos = sentAtNanos + (long) (FIRST_REPORT_FRACTION * target.concurrency.estimateNanos());
-        return Math.max(nowNanos + settings.reportIntervalNanos(), earliestNanos);
+        return nowNanos + Math.max(settings.reportIntervalNanos(), earliestNanos - nowNanos);
     }
 
     private long reportIntervalNanos(long nowNanos) {
@@ -367,7 +432,7 @@
         } else if (ownership.isHeld() && requested && recentEnough) {
             moveTo(Phase.WITHDRAWN);
             orderAtNanos = nowNanos;
-            expectedSequence = orderSequence;
+            observeAcceptedOrders(orderSequence);
         }
     }
 
@@ -381,8 +446,8 @@
         fencingToken = ownership.fencingToken();
         sentAtNanos = nowNanos;
         attempts++;
-        actions.add(new SendOrder(
-                status.id(), target.model, version, settings.orderMode(), fencingToken, expectedSequence));
+        actions.add(
+                new SendOrder(status.id(), target.model, version, settings.orderMode(), fencingToken, acceptedOrders));
     }
 
     private void awaitConfirmation(long resultNanos, long reportNanos) {
@@ -412,7 +477,6 @@
 
     private void resetOrder(long nextNotBeforeNanos) {
         nextOrderNotBeforeNanos = nextNotBeforeNanos;
-        expectedSequence = SendOrder.ANY_SEQUENCE;
         attempts = 0;
     }
 
--- a/coordination/src/main/java/burlarch/coordination/rollout/EngineStatus.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/EngineStatus.java
@@ -10,18 +10,21 @@
 /**
  * The status of one incarnation of an engine, as known from registrations and reports.
  *
- * <p>Invariant <em>versions only rise</em>: weights only get newer while an engine runs, so a late observation
- * changes nothing.
+ * <p>Invariant <em>a late observation changes nothing</em>: a known version is replaced by a newer one at once, but by
+ * an older one only after a report that describes the engine as it was after the known version had been observed.
  */
 final class EngineStatus {
-    private final Map<String, Long> versions = new HashMap<>();
+    /** A version of weights that the engine was observed to have, and since when it is known. */
+    private record LoadedVersion(long version, long sinceNanos) {}
+
+    private final Map<String, LoadedVersion> versions = new HashMap<>();
     private Instance instance;
     private boolean present;
     private long missingSinceNanos;
     private int runningRequests;
 
-    EngineStatus(Instance instance) {
-        onInstance(instance);
+    EngineStatus(Instance instance, long nowNanos) {
+        onInstance(instance, nowNanos);
     }
 
     String id() {
@@ -41,10 +44,10 @@
     }
 
     /** Records that the registry lists the engine. */
-    void onInstance(Instance announced) {
+    void onInstance(Instance announced, long nowNanos) {
         instance = announced;
         present = announced.state() != InstanceState.GONE;
-        onModels(announced.models());
+        onModels(announced.models(), nowNanos);
     }
 
     /** Records that the registry does not list the engine. */
@@ -68,24 +71,61 @@
         return present && instance.state() == InstanceState.LOADING;
     }
 
-    void onModels(List<ServedModel> models) {
+    /** Records observed versions; an older one than the known one may be a late observation and changes nothing. */
+    void onModels(List<ServedModel> models, long nowNanos) {
+        for (ServedModel served : models) {
+            onVersion(served.name(), served.version(), nowNanos);
+        }
+    }
+
+    void onVersion(String model, long version, long nowNanos) {
+        if (version > version(model)) {
+            versions.put(model, new LoadedVersion(version, nowNanos));
+        }
+    }
+
+    /**
+     * Records the versions of a report that describes the engine as it was at {@code describedAtNanos} or later; an
+     * older version than the known one is recorded too if that one was known at that time.
+     */
+    void onVerifiedModels(List<ServedModel> models, long describedAtNanos, long nowNanos) {
         for (ServedModel served : models) {
-            onVersion(served.name(), served.version());
+            LoadedVersion known = versions.get(served.name());
+            boolean isOlder = known != null && served.version() < known.version();
+            if (isOlder && describedAtNanos - known.sinceNanos() >= 0) {
+                versions.put(served.name(), new LoadedVersion(served.version(), nowNanos));
+            }
+        }
+        onModels(models, nowNanos);
+    }
+
+    /** Returns whether the engine announces an older version than one that it is known to have had for that time. */
+    boolean announcesOlderThanKnownFor(long durationNanos, long nowNanos) {
+        if (!present) {
+            return false;
+        }
+        for (ServedModel served : instance.models()) {
+            LoadedVersion known = versions.get(served.name());
+            if (served.version() < known.version() && nowNanos - known.sinceNanos() >= durationNanos) {
+                return true;
+            }
         }
+        return false;
     }
 
-    void onVersion(String model, long version) {
-        versions.merge(model, version, Math::max);
+    private long version(String model) {
+        LoadedVersion known = versions.get(model);
+        return known == null ? 0 : known.version();
     }
 
     /** Returns whether that version or a newer one is loaded. */
     boolean hasLoaded(String model, long version) {
-        return versions.getOrDefault(model, 0L) >= version;
+        return version(model) >= version;
     }
 
     /** Returns when the weights that it has were superseded. It must be behind the target. */
     long supersededAtNanos(RolloutTarget target) {
-        return target.supersededAtNanos(versions.get(target.model));
+        return target.supersededAtNanos(version(target.model));
     }
 
     /** Returns whether it accepts requests for the target's model, or will once it has loaded weights. */
@@ -95,6 +135,6 @@
 
     /** Returns whether it serves the target's model with older weights. */
     boolean isBehind(RolloutTarget target) {
-        return serves(target) && versions.get(target.model) < target.version();
+        return serves(target) && version(target.model) < target.version();
     }
 }
--- a/coordination/src/main/java/burlarch/coordination/rollout/RolloutAction.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/RolloutAction.java
@@ -11,14 +11,11 @@
      * @param mode how the engine treats its running requests
      * @param fencingToken of the ownership
      * @param expectedSequence the number of orders that the engine must have accepted so far, otherwise it rejects
-     *     this one; {@link #ANY_SEQUENCE} for no such condition
+     *     this one
      */
     record SendOrder(
             String instanceId, String model, long version, OrderMode mode, long fencingToken, long expectedSequence)
-            implements RolloutAction {
-        /** The engine may have accepted any number of orders. */
-        public static final long ANY_SEQUENCE = -1;
-    }
+            implements RolloutAction {}
 
     /** Tell the routers that the engine loads, so that they send nothing more to it. */
     record MarkLoading(String instanceId) implements RolloutAction {}
--- a/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/WeightsRollout.java
@@ -53,7 +53,7 @@
         }
         for (Instance instance : instances) {
             if (!instance.models().isEmpty()) {
-                engineOf(instance, nowNanos).status().onInstance(instance);
+                engineOf(instance, nowNanos).status().onInstance(instance, nowNanos);
             }
         }
         forgetMissing(nowNanos);
@@ -115,10 +115,10 @@
         return proceed(nowNanos);
     }
 
-    /** Returns whether all known engines have the newest named weights. */
+    /** Returns whether all known engines have the newest named weights, and none announces older ones than it had. */
     public boolean isComplete() {
         for (EngineRollout engine : engines.values()) {
-            if (firstTargetBehind(engine).isPresent()) {
+            if (engine.awaitsVerification() || firstTargetBehind(engine).isPresent()) {
                 return false;
             }
         }
--- a/coordination/src/test/java/burlarch/coordination/rollout/RolloutSearchTest.java
+++ b/coordination/src/test/java/burlarch/coordination/rollout/RolloutSearchTest.java
@@ -52,4 +52,31 @@
             simulation.assertDone();
         }
     }
+
+    /** Guards against an engine that keeps older weights, which are taken for a late observation (VERSION). */
+    @Test
+    void engineThatGoesBackToOlderWeightsLoadsTheNewestAgain() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            RolloutSimulation simulation = new RolloutSimulation(seed, 1 + seed % 12, 0.2, 2000);
+            simulation.nameVersion(1000);
+            simulation.nameVersion(4000 + seed * 7L);
+            simulation.goBackOne(20_000 + seed * 13L);
+            simulation.changeOwner(19_000 + seed * 9L);
+            simulation.run(60_000);
+            simulation.assertDone();
+        }
+    }
+
+    /** Guards against an order that was held up and replaces weights that were ordered later (VERSION). */
+    @Test
+    void lateOrdersDoNotReplaceNewerWeights() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            RolloutSimulation simulation = new RolloutSimulation(seed, 1 + seed % 12, 0.3, 1000);
+            simulation.nameVersion(1000);
+            simulation.nameVersion(2000 + seed * 7L);
+            simulation.nameVersion(3000 + seed * 11L);
+            simulation.run(60_000);
+            simulation.assertDone();
+        }
+    }
 }
--- a/simulation/src/main/java/burlarch/simulation/coordination/node/InstanceNode.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/node/InstanceNode.java
@@ -257,7 +257,7 @@
         loop.schedule(LOAD_NANOS, () -> {
             if (currentIncarnation == incarnation) {
                 loading = false;
-                weightsVersion = Math.max(weightsVersion, version);
+                weightsVersion = version;
             }
         });
     }
