--- a/coordination/src/main/java/burlarch/coordination/rollout/EngineRollout.java
+++ b/coordination/src/main/java/burlarch/coordination/rollout/EngineRollout.java
@@ -103,16 +103,13 @@
     private final RolloutOwnership ownership;
     private final List<RolloutAction> actions;
     private final EngineStatus status;
+    private final AcceptedOrders acceptedOrders = new AcceptedOrders();
     private Phase phase = Phase.IDLE;
     private long clearedAtNanos;
     private long nextOrderNotBeforeNanos;
     private RolloutTarget target;
     private long version;
     private long fencingToken;
-    /** Number of orders that the engine has accepted since its start; it may be higher unless it was observed. */
-    private long acceptedOrders;
-    /** Whether a result or a report has shown {@link #acceptedOrders}; no other process has sent an order since. */
-    private boolean acceptedOrdersObserved;
     /** Number of orders sent since the engine was withdrawn; 0 for an adopted engine. */
     private int attempts;
     /** Number of loads since the engine was withdrawn, the present one included; 0 for an adopted engine. */
@@ -272,7 +269,7 @@
         }
         switch (result) {
             case ACCEPTED -> {
-                observeAcceptedOrders(acceptedOrders + 1);
+                acceptedOrders.onAccepted();
                 awaitConfirmation(nowNanos, firstReportAtNanos(nowNanos));
             }
             case ALREADY_LOADED -> {
@@ -283,7 +280,7 @@
             case INVALID, MISDIRECTED -> abandon(nowNanos, REJECTED_PAUSE_NANOS);
             case CONFLICT -> onConflict(nowNanos);
             case NO_RESPONSE -> {
-                acceptedOrdersObserved = false;
+                acceptedOrders.onUnknownResult();
                 awaitConfirmation(nowNanos, nowNanos + settings.reportStalenessNanos());
             }
         }
@@ -295,18 +292,13 @@
      * orders of a previous owner, and any report shows the sequence.
      */
     private void onConflict(long nowNanos) {
-        if (acceptedOrdersObserved) {
+        if (acceptedOrders.isObserved()) {
             awaitConfirmation(nowNanos, nowNanos + settings.reportStalenessNanos());
         } else {
             awaitConfirmation(nowNanos - settings.reportStalenessNanos(), nowNanos);
         }
     }
 
-    private void observeAcceptedOrders(long count) {
-        acceptedOrders = count;
-        acceptedOrdersObserved = true;
-    }
-
     /**
      * Handles the response to a report request.
      *
@@ -319,7 +311,7 @@
         if (report.isEmpty()) {
             return;
         }
-        observeAcceptedOrders(Math.max(acceptedOrders, report.get().orderSequence()));
+        acceptedOrders.onReport(report.get().orderSequence());
         status.onRunningRequests(report.get().runningRequests());
         if (phase == Phase.IDLE && !report.get().busy()) {
             long describedAtNanos = reportRequestedAtNanos - settings.reportStalenessNanos();
@@ -432,7 +424,7 @@
         } else if (ownership.isHeld() && requested && recentEnough) {
             moveTo(Phase.WITHDRAWN);
             orderAtNanos = nowNanos;
-            observeAcceptedOrders(orderSequence);
+            acceptedOrders.onCount(orderSequence);
         }
     }
 
@@ -446,8 +438,8 @@
         fencingToken = ownership.fencingToken();
         sentAtNanos = nowNanos;
         attempts++;
-        actions.add(
-                new SendOrder(status.id(), target.model, version, settings.orderMode(), fencingToken, acceptedOrders));
+        actions.add(new SendOrder(
+                status.id(), target.model, version, settings.orderMode(), fencingToken, acceptedOrders.count()));
     }
 
     private void awaitConfirmation(long resultNanos, long reportNanos) {
