--- a/router/src/main/java/burlarch/router/upstream/OrderlyCloseEndPoint.java
+++ b/router/src/main/java/burlarch/router/upstream/OrderlyCloseEndPoint.java
@@ -22,6 +22,15 @@
         super(channel, selector, key, scheduler);
     }
 
+    /** Tells the connection that a write waits until the peer reads. */
+    @Override
+    protected void onIncompleteFlush() {
+        super.onIncompleteFlush();
+        if (getConnection() instanceof UpstreamConnection connection) {
+            connection.onWriteBlocked();
+        }
+    }
+
     /**
      * Reads the bytes that are available.
      *
--- a/router/src/main/java/burlarch/router/upstream/UpstreamConnection.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamConnection.java
@@ -28,6 +28,8 @@
             Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onReadFailed);
     private UpstreamConnectionState state = UpstreamConnectionState.IDLE;
     private UpstreamCall call;
+    /** Whether the write of the request in flight has waited for the peer to read. */
+    private boolean writeBlocked;
     /** How long the connection was idle before the call in flight; negative if that is its first call. */
     private long idleNanosBeforeCall = -1;
 
@@ -78,6 +80,7 @@
                 reader.begin(newCall);
                 state = state.on(Event.CALL_STARTED);
                 call = newCall;
+                writeBlocked = false;
             }
         }
         if (unusable) {
@@ -214,33 +217,72 @@
         }
     }
 
-    /** Returns the connection to the pool, or closes it, before the listener is notified. */
+    /**
+     * Returns the connection to the pool, or closes it, before the listener is notified. If the write has not returned
+     * yet, its thread does this: the next request is sent as soon as the listener is notified, and would need another
+     * connection.
+     */
     private void onResponseComplete() {
         UpstreamCall ended;
         UpstreamConnectionState nextState;
         synchronized (this) {
             ended = call;
             nextState = state.on(mayReuse() ? Event.RESPONSE_COMPLETE : Event.CLOSE);
+            // Before the thread that writes can make the connection idle, and another call begins to read.
+            reader.releaseInput();
             state = nextState;
             call = nextState == UpstreamConnectionState.AWAITING_WRITE ? ended : null;
         }
-        reader.releaseInput();
         if (nextState == UpstreamConnectionState.IDLE) {
             becomeIdle();
         } else if (nextState == UpstreamConnectionState.CLOSED) {
             closeAndRemove();
+        } else {
+            return;
         }
+        notifyComplete(ended);
+    }
+
+    private static void notifyComplete(UpstreamCall ended) {
         if (ended != null && ended.endOnce()) {
             ended.listener().onComplete();
         }
     }
 
-    /** Not after an incompletely written request: the rest of it would precede the next request. */
+    /**
+     * Not while the rest of the request waits for the peer to read: it would precede the next request. A write that has
+     * not returned yet, but does not wait, is about to complete.
+     */
     private boolean mayReuse() {
-        return state.hasActiveCall()
-                && reader.allowsReuse()
-                && getEndPoint().isOpen()
-                && (state == UpstreamConnectionState.AWAITING_RESPONSE || call.isFullyWritten());
+        return state.hasActiveCall() && reader.allowsReuse() && getEndPoint().isOpen() && !isWriteBlocked();
+    }
+
+    private boolean isWriteBlocked() {
+        return state == UpstreamConnectionState.WRITING && writeBlocked && !call.isFullyWritten();
+    }
+
+    /** Called when the write waits for the peer to read; closes the connection if its response is complete. */
+    void onWriteBlocked() {
+        synchronized (this) {
+            writeBlocked = true;
+        }
+        closeIfResponseComplete();
+    }
+
+    /** Closes the connection if it only waits for a write that does not complete. Returns whether it did. */
+    private boolean closeIfResponseComplete() {
+        UpstreamCall ended;
+        synchronized (this) {
+            if (state != UpstreamConnectionState.AWAITING_WRITE) {
+                return false;
+            }
+            state = state.on(Event.CLOSE);
+            ended = call;
+            call = null;
+        }
+        closeAndRemove();
+        notifyComplete(ended);
+        return true;
     }
 
     private void becomeIdle() {
@@ -302,9 +344,13 @@
             call = null;
         }
         becomeIdle();
+        notifyComplete(written);
     }
 
     private void onWriteFailed(UpstreamCall failed, Throwable cause) {
+        if (closeIfResponseComplete()) {
+            return;
+        }
         UpstreamCall ended;
         synchronized (this) {
             if (call != failed) {
--- a/router/src/main/java/burlarch/router/upstream/UpstreamConnectionState.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamConnectionState.java
@@ -21,8 +21,8 @@
     /** A call is in flight; its request has been written completely. */
     AWAITING_RESPONSE,
     /**
-     * The response is complete and every byte of the request was handed to the socket, but the completion of
-     * the write has not been reported yet.
+     * The response is complete, but the completion of the write of the request has not been reported yet, nor that
+     * of the response to the listener. The connection closes if the write turns out to wait for the peer.
      */
     AWAITING_WRITE,
     /** The connection is not used again. */
--- a/router/src/main/java/burlarch/router/upstream/UpstreamListener.java
+++ b/router/src/main/java/burlarch/router/upstream/UpstreamListener.java
@@ -4,8 +4,8 @@
 import org.eclipse.jetty.http.HttpFields;
 
 /**
- * Listener for the response to one call. The methods are called one after another, on the thread that reads;
- * the last call is exactly one of {@link #onComplete} and {@link #onFailure}.
+ * Listener for the response to one call. The methods are called one after another, on the thread that reads, the last
+ * one possibly on the thread that writes; the last call is exactly one of {@link #onComplete} and {@link #onFailure}.
  */
 public interface UpstreamListener {
     /**
