--- a/controller/src/main/java/burlarch/controller/ControllerRuntime.java
+++ b/controller/src/main/java/burlarch/controller/ControllerRuntime.java
@@ -6,6 +6,7 @@
 import burlarch.controller.distribution.PrefixCacheEventForwarder;
 import burlarch.controller.distribution.QuorumReadGate;
 import burlarch.controller.distribution.RouterPublisher;
+import burlarch.controller.instances.DepartureRecorder;
 import burlarch.controller.instances.InstanceReplicator;
 import burlarch.controller.ownership.LeaseManager;
 import burlarch.controller.peers.ControllerMembershipView;
@@ -96,9 +97,10 @@
                 new InstanceRegistry(RegistrySettings.forHeartbeat(settings.heartbeatNanos()), loop.nanoTime());
         RouterPublisher publisher =
                 new RouterPublisher(loop, environment.connections().codec(), registry);
-        InstanceReplicator instances =
-                new InstanceReplicator(loop, registry, peers, publisher, register.quorumContact());
+        InstanceReplicator instances = new InstanceReplicator(
+                loop, registry, peers, publisher, register.quorumContact(), new DepartureRecorder(register.client()));
         register.committed().addListener(publisher::onCommitted);
+        register.committed().addListener((state, origin) -> instances.onCommitted(state));
         register.start(settings.toleratedLosses());
         startRollout(settings, registry, publisher, environment.engines());
         dispatcher.start(new MessageHandlers(
--- a/controller/src/main/java/burlarch/controller/api/OperatorService.java
+++ b/controller/src/main/java/burlarch/controller/api/OperatorService.java
@@ -26,7 +26,8 @@
  * Methods may be called on any thread; the futures complete on the loop.
  *
  * <p>Without contact to a quorum every call fails at once with {@link ErrorKind#NO_QUORUM}, so that the caller switches
- * to another controller; an instance's announcement is applied nevertheless. An instance for which the registry has no
+ * to another controller; an instance's announcement or leave is applied nevertheless. A drain or leave is acknowledged
+ * once the routers know of it and the register contains it. An instance for which the registry has no
  * room is rejected with {@link ErrorKind#OVERLOADED}, because no router would ever learn of it.
  */
 public final class OperatorService implements ControlService {
@@ -165,20 +166,34 @@
 
     @Override
     public CompletableFuture<Void> announce(Instance instance) {
+        if (!StateChanges.isValidName(instance.id())) {
+            return invalidId();
+        }
         return callOnLoop(() -> {
-            if (!instances.announce(instance)) {
-                return registryFull();
+            if (instance.state() != InstanceState.DRAINING) {
+                return instances.announce(instance) ? acknowledge() : registryFull();
             }
-            return instance.state() == InstanceState.DRAINING ? acknowledgeAfterRouters() : acknowledge();
+            CompletableFuture<Void> recorded = instances.recordDrain(instance.id());
+            return instances.announce(instance) ? acknowledgeDeparture(recorded) : registryFull();
         });
     }
 
     @Override
     public CompletableFuture<Void> leave(String id) {
-        return callOnLoop(() -> {
-            instances.onLeft(id);
-            return acknowledgeAfterRouters();
-        });
+        if (!StateChanges.isValidName(id)) {
+            return invalidId();
+        }
+        return callOnLoop(() -> acknowledgeDeparture(instances.onLeft(id)));
+    }
+
+    private static CompletableFuture<Void> invalidId() {
+        return CompletableFuture.failedFuture(new ControlException(ErrorKind.INVALID, "id", "must be a name"));
+    }
+
+    /** Completes once the routers know of an instance's drain or leave and the register contains it. */
+    private CompletableFuture<Void> acknowledgeDeparture(CompletableFuture<Void> recorded) {
+        CompletableFuture<Void> routersNotified = acknowledgeAfterRouters();
+        return tooFewAcceptors() ? noQuorum() : recorded.thenCompose(done -> routersNotified);
     }
 
     private CompletableFuture<Void> acknowledge() {
--- a/controller/src/main/java/burlarch/controller/instances/InstanceReplicator.java
+++ b/controller/src/main/java/burlarch/controller/instances/InstanceReplicator.java
@@ -1,8 +1,11 @@
 package burlarch.controller.instances;
 
 import burlarch.controller.distribution.RouterPublisher;
+import burlarch.controller.error.ControlException;
+import burlarch.controller.error.ErrorKind;
 import burlarch.controller.peers.ControllerPeers;
 import burlarch.controller.register.QuorumContactMonitor;
+import burlarch.controller.state.SystemState;
 import burlarch.coordination.registry.Instance;
 import burlarch.coordination.registry.InstanceRegistry;
 import burlarch.transport.EventLoop;
@@ -11,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Replicator of instance announcements between controllers and to routers. Runs on the event loop.
@@ -29,6 +33,7 @@
     private final ControllerPeers peers;
     private final RouterPublisher publisher;
     private final QuorumContactMonitor quorumContact;
+    private final DepartureRecorder departures;
     /** Heartbeats for the next batch. A batch is scheduled if and only if the list is not empty. */
     private List<Instance> heartbeats = new ArrayList<>();
 
@@ -38,12 +43,14 @@
             InstanceRegistry registry,
             ControllerPeers peers,
             RouterPublisher publisher,
-            QuorumContactMonitor quorumContact) {
+            QuorumContactMonitor quorumContact,
+            DepartureRecorder departures) {
         this.loop = loop;
         this.registry = registry;
         this.peers = peers;
         this.publisher = publisher;
         this.quorumContact = quorumContact;
+        this.departures = departures;
         loop.schedule(EXPIRY_CHECK_PERIOD_NANOS, this::onExpiryTimer);
     }
 
@@ -66,6 +73,8 @@
             }
             default -> {}
         }
+        registry.departureOfReturned(instance.id())
+                .ifPresent(departure -> departures.recordReturn(instance.id(), departure));
         return result != InstanceRegistry.AnnouncementResult.TABLE_FULL;
     }
 
@@ -81,11 +90,40 @@
         heartbeats = new ArrayList<>();
     }
 
-    /** Handles an instance's announcement of its end at this controller. */
-    public void onLeft(String id) {
+    /**
+     * Records in the register that an instance drains, unless it is there already. Must be called before
+     * {@link #announce} applies the drain.
+     *
+     * @return as that of {@link #onLeft}
+     */
+    public CompletableFuture<Void> recordDrain(String id) {
+        return registry.hasDeparted(id) ? CompletableFuture.completedFuture(null) : recordDeparture(id);
+    }
+
+    /**
+     * Handles an instance's announcement of its end at this controller: notifies the other nodes at once and records
+     * the departure in the register.
+     *
+     * @return future that completes when the departure outlasts the controllers' memory; it fails with a
+     *     {@link ControlException}
+     */
+    public CompletableFuture<Void> onLeft(String id) {
         Instance left = registry.leave(id, loop.nanoTime());
         peers.sendAll(new NodeMessage.InstanceAnnouncements(List.of(left)));
         publisher.sendInstances();
+        return recordDeparture(id);
+    }
+
+    private CompletableFuture<Void> recordDeparture(String id) {
+        return quorumContact.hasContact()
+                ? departures.recordDeparture(id)
+                : CompletableFuture.failedFuture(new ControlException(ErrorKind.NO_QUORUM));
+    }
+
+    /** Applies the departures of a newly committed state. */
+    public void onCommitted(SystemState committed) {
+        registry.onDepartures(committed.departures().numbers(), loop.nanoTime());
+        publisher.sendInstances();
     }
 
     /** Merges announcements that another controller has received. */
--- a/controller/src/main/java/burlarch/controller/state/StateChanges.java
+++ b/controller/src/main/java/burlarch/controller/state/StateChanges.java
@@ -6,7 +6,9 @@
 import burlarch.controller.state.ChangeResult.Changed;
 import burlarch.controller.state.ChangeResult.Unchanged;
 import burlarch.controller.state.ChangeResult.UnchangedReason;
+import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Pure functions that apply changes to a {@link SystemState}. They are pure because a proposal may apply the same
@@ -135,7 +137,31 @@
         return new Changed(state.withOwner(key, holder));
     }
 
-    private static boolean isValidName(String text) {
+    /**
+     * Records that instances drain or have left. An instance that has a departure gets a new one, because it may have
+     * returned meanwhile.
+     *
+     * @param ids valid {@linkplain #isValidName names}
+     */
+    public static ChangeResult instancesDeparted(SystemState state, Collection<String> ids) {
+        return new Changed(state.withDepartures(state.departures().with(ids)));
+    }
+
+    /**
+     * Removes the departure of an instance that has returned under the same id.
+     *
+     * @param departure number of the departure that the instance has returned from; a newer one is kept
+     */
+    public static ChangeResult instanceReturned(SystemState state, String id, long departure) {
+        OptionalLong current = state.departures().numberOf(id);
+        if (current.isEmpty() || current.getAsLong() != departure) {
+            return Unchanged.ALREADY_APPLIED;
+        }
+        return new Changed(state.withDepartures(state.departures().without(id)));
+    }
+
+    /** Whether a text can be the name of a model, role, holder or instance in the state. */
+    public static boolean isValidName(String text) {
         return text != null && !text.isEmpty() && text.length() <= MAX_NAME_LENGTH;
     }
 }
--- a/controller/src/main/java/burlarch/controller/state/SystemState.java
+++ b/controller/src/main/java/burlarch/controller/state/SystemState.java
@@ -1,6 +1,7 @@
 package burlarch.controller.state;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.HashMap;
 import java.util.Map;
@@ -17,6 +18,7 @@
  * @param weights target version of the weights, by model
  * @param owners leases by the key of their role
  * @param nextToken fencing token of the next lease; never decreases
+ * @param departures instances that drain or have left; a value written by an older release has none
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record SystemState(
@@ -25,19 +27,24 @@
         @JsonProperty("k") AppliedChanges appliedChanges,
         @JsonProperty("w") Map<String, Long> weights,
         @JsonProperty("o") Map<String, Lease> owners,
-        @JsonProperty("n") long nextToken) {
+        @JsonProperty("n") long nextToken,
+        @JsonProperty("d")
+                @JsonInclude(value = JsonInclude.Include.CUSTOM, valueFilter = DepartedInstances.NoneFilter.class)
+                DepartedInstances departures) {
     /** Limit of a configuration's size, so that it fits into one message and one record on disk. */
     public static final int MAX_CONFIGURATION_BYTES = 5 << 20;
     /** Limit of models with a target version, and of roles with a lease. */
     public static final int MAX_NAMES = 1024;
     /** The state of a fleet without a configuration. */
-    public static final SystemState EMPTY = new SystemState(0, new byte[0], AppliedChanges.NONE, Map.of(), Map.of(), 1);
+    public static final SystemState EMPTY =
+            new SystemState(0, new byte[0], AppliedChanges.NONE, Map.of(), Map.of(), 1, DepartedInstances.NONE);
 
     public SystemState {
         configuration = configuration == null ? new byte[0] : configuration;
         appliedChanges = appliedChanges == null ? AppliedChanges.forgottenUpTo(configurationVersion) : appliedChanges;
         weights = weights == null ? Map.of() : Map.copyOf(weights);
         owners = owners == null ? Map.of() : Map.copyOf(owners);
+        departures = departures == null ? DepartedInstances.NONE : departures;
     }
 
     /** Whether a configuration was ever applied. */
@@ -46,18 +53,26 @@
     }
 
     SystemState withConfiguration(AppliedChange change, byte[] document) {
-        return new SystemState(change.version(), document, appliedChanges.with(change), weights, owners, nextToken);
+        return new SystemState(
+                change.version(), document, appliedChanges.with(change), weights, owners, nextToken, departures);
     }
 
     SystemState withWeights(String model, long version) {
         Map<String, Long> changed = new HashMap<>(weights);
         changed.put(model, version);
-        return new SystemState(configurationVersion, configuration, appliedChanges, changed, owners, nextToken);
+        return new SystemState(
+                configurationVersion, configuration, appliedChanges, changed, owners, nextToken, departures);
     }
 
     SystemState withOwner(String key, String holder) {
         Map<String, Lease> changed = new HashMap<>(owners);
         changed.put(key, new Lease(holder, nextToken));
-        return new SystemState(configurationVersion, configuration, appliedChanges, weights, changed, nextToken + 1);
+        return new SystemState(
+                configurationVersion, configuration, appliedChanges, weights, changed, nextToken + 1, departures);
+    }
+
+    SystemState withDepartures(DepartedInstances changed) {
+        return new SystemState(
+                configurationVersion, configuration, appliedChanges, weights, owners, nextToken, changed);
     }
 }
--- a/coordination/src/main/java/burlarch/coordination/registry/InstanceRegistry.java
+++ b/coordination/src/main/java/burlarch/coordination/registry/InstanceRegistry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * A controller's registry of instances, built from announcements that it received or that other controllers
@@ -18,6 +19,9 @@
  *       its id. So announcements may be late, duplicated and reordered.
  *   <li><em>Final leave</em>: an instance that has left has the sequence {@link #LEFT_SEQUENCE}, the highest
  *       possible.
+ *   <li><em>Agreed departure</em>: for {@link RegistrySettings#removedRetentionNanos} after this controller learned
+ *       that the controllers agreed on the departure of an instance, no announcement makes the instance READY, even if
+ *       this registry was empty then. What it accepted before it learned of the departure is removed.
  *   <li><em>Permanent drain</em>: an instance that announced that it drains is never READY again
  *       ({@link RegistryEntry}).
  *   <li><em>Return after a loss</em>: a lost instance keeps its last sequence, so its next announcement brings it
@@ -40,7 +44,7 @@
         CHANGED,
         /** A heartbeat without new content; at most an unheard instance is heard again. */
         REFRESHED,
-        /** Its sequence is not above the known one; it was ignored. */
+        /** Its sequence is not above the known one, or it may precede the instance's departure; it was ignored. */
         STALE,
         /** There is no room for another instance; it was ignored. */
         TABLE_FULL
@@ -55,6 +59,7 @@
     private final Map<String, RegistryEntry> byAddress = new HashMap<>();
 
     private final RemovedEntries removed;
+    private final KnownDepartures departures;
     private final RevisionIndex revisions = new RevisionIndex();
     private long graceFromNanos;
     private long checkedAtNanos;
@@ -63,6 +68,7 @@
     public InstanceRegistry(RegistrySettings settings, long startNanos) {
         this.settings = settings;
         this.removed = new RemovedEntries(settings);
+        this.departures = new KnownDepartures(settings.removedRetentionNanos());
         this.graceFromNanos = startNanos;
         this.checkedAtNanos = startNanos;
     }
@@ -73,12 +79,22 @@
         if (entry != null && instance.sequence() <= entry.sequence()) {
             return AnnouncementResult.STALE;
         }
+        if (mayPrecedeDeparture(entry, instance, nowNanos)) {
+            return AnnouncementResult.STALE;
+        }
         if (entry == null && instance.state() != InstanceState.GONE && isFull()) {
             return AnnouncementResult.TABLE_FULL;
         }
         return apply(entry, instance, nowNanos);
     }
 
+    /** Whether an announcement of an instance that is not live here may have been sent before its agreed departure. */
+    private boolean mayPrecedeDeparture(RegistryEntry entry, Instance instance, long nowNanos) {
+        return instance.state() == InstanceState.READY
+                && (entry == null || entry.isRemoved())
+                && departures.mayPrecede(instance.id(), nowNanos);
+    }
+
     /**
      * Removes an instance that announced that it leaves permanently.
      *
@@ -95,6 +111,38 @@
         return last;
     }
 
+    /**
+     * Replaces the departures that the controllers agreed on.
+     *
+     * @param numbers number of the departure, by the id of the instance; a later departure of an id has another number
+     */
+    public void onDepartures(Map<String, Long> numbers, long nowNanos) {
+        for (String id : departures.update(numbers, nowNanos)) {
+            RegistryEntry entry = entries.get(id);
+            if (entry != null && isReady(entry)) {
+                removeLost(entry, nowNanos);
+            }
+        }
+    }
+
+    /** Whether the controllers agreed that the instance drains or has left, and it has not returned since. */
+    public boolean hasDeparted(String id) {
+        return departures.numberOf(id).isPresent() && departureOfReturned(id).isEmpty();
+    }
+
+    /**
+     * Returns the number of the departure from which an instance has returned, as long as the controllers agree on that
+     * departure; empty for any other instance.
+     */
+    public OptionalLong departureOfReturned(String id) {
+        RegistryEntry entry = entries.get(id);
+        return entry != null && isReady(entry) ? departures.numberOf(id) : OptionalLong.empty();
+    }
+
+    private static boolean isReady(RegistryEntry entry) {
+        return !entry.isRemoved() && !entry.isDraining();
+    }
+
     /**
      * Applies instances that another registry knows or accepted, in any order. The loading state is not merged: only
      * the registry that was told of it keeps it.
--- a/coordination/src/main/java/burlarch/coordination/registry/RegistryEntry.java
+++ b/coordination/src/main/java/burlarch/coordination/registry/RegistryEntry.java
@@ -119,6 +119,10 @@
         return presence == Presence.LOST || presence == Presence.LEFT;
     }
 
+    boolean isDraining() {
+        return draining;
+    }
+
     boolean hasLeft() {
         return presence == Presence.LEFT;
     }
