--- a/router/src/main/java/burlarch/router/upstream/OrderlyCloseEndPoint.java
+++ b/router/src/main/java/burlarch/router/upstream/OrderlyCloseEndPoint.java
@@ -14,7 +14,7 @@
  * a reset, and a close by this side, as an end of input. That would complete a response whose end is marked by the
  * end of its connection.
  */
-final class OrderlyCloseEndPoint extends SocketChannelEndPoint {
+class OrderlyCloseEndPoint extends SocketChannelEndPoint {
     /** Whether the peer has closed its side of the connection in an orderly way. */
     private volatile boolean inputEnded;
 
@@ -22,13 +22,16 @@
         super(channel, selector, key, scheduler);
     }
 
-    /** Tells the connection that a write waits until the peer reads. */
+    /**
+     * Tells the connection that a write waits until the peer reads. The selector is told afterwards: it may complete
+     * the write at once, and the connection may then carry its next call.
+     */
     @Override
     protected void onIncompleteFlush() {
-        super.onIncompleteFlush();
         if (getConnection() instanceof UpstreamConnection connection) {
             connection.onWriteBlocked();
         }
+        super.onIncompleteFlush();
     }
 
     /**
