--- a/engine-client/src/main/java/burlarch/engine/EngineClient.java
+++ b/engine-client/src/main/java/burlarch/engine/EngineClient.java
@@ -26,6 +26,12 @@
     private static final int MAX_SNAPSHOT_RESPONSE_BYTES = 2 << 20;
     private static final int MAX_CONTROL_RESPONSE_BYTES = 64 << 10;
 
+    /**
+     * Tag of the connections that carry orders and nothing else. Responses to control calls have no id, so a surplus
+     * response to another call could be taken for the response to an order.
+     */
+    private static final String ORDER_CONNECTIONS = "orders";
+
     private final HttpClient http;
     private final EngineJsonCodec codec = new EngineJsonCodec();
 
@@ -61,10 +67,11 @@
         return send(request(target, "/burlarch/report", 0), new ReportResponseListener(codec));
     }
 
-    /** Sends an order to load weights once, without a retry. */
+    /** Sends an order to load weights once, without a retry, over a connection that carries only orders. */
     @Override
     public CompletableFuture<OrderResult> order(EngineAddress target, WeightsOrder order) {
         Request request = request(target, "/burlarch/order", 0)
+                .tag(ORDER_CONNECTIONS)
                 .method("POST")
                 .body(new BytesRequestContent("application/json", codec.writeOrder(order)));
         return send(request, new OrderResponseListener());
