--- a/engine-client/src/main/java/burlarch/engine/KvSubscriptionState.java
+++ b/engine-client/src/main/java/burlarch/engine/KvSubscriptionState.java
@@ -11,7 +11,8 @@
  * of the next call. It does no I/O and reads no clock; all times are nanoseconds of one monotonic clock. Not
  * thread-safe.
  *
- * <p>A response in a new epoch restarts the subscription at offset 0. A snapshot becomes due if events were lost, if a
+ * <p>A response in a new epoch restarts the subscription at offset 0. A response that ends before the requested offset
+ * of the same epoch belongs to an earlier call, and is unusable. A snapshot becomes due if events were lost, if a
  * response is unusable, or if a caller requests it, and is requested at most once in about
  * {@link #SNAPSHOT_INTERVAL_NANOS}. Failed calls are retried with exponential backoff and jitter.
  */
@@ -89,9 +90,13 @@
             onFailure(response.status(), nowNanos);
             return Optional.empty();
         }
+        boolean newEpoch = !epochKnown || response.epoch() != epoch;
+        if (!newEpoch && response.next() < since) {
+            onFailure(KvEventsResponse.Status.INVALID, nowNanos);
+            return Optional.empty();
+        }
         failures = 0;
         nextCallNanos = callStartNanos + MIN_CALL_INTERVAL_NANOS;
-        boolean newEpoch = !epochKnown || response.epoch() != epoch;
         boolean startedAtOldest = since == 0;
         epochKnown = true;
         epoch = response.epoch();
--- a/engine-client/src/test/java/burlarch/engine/KvEventSubscriberTest.java
+++ b/engine-client/src/test/java/burlarch/engine/KvEventSubscriberTest.java
@@ -68,6 +68,22 @@
         assertThat(nextUpdate()).isEqualTo("events i-1 7 -s:a:0:m");
     }
 
+    /** Guards against a surplus response to an earlier call, which brings segments back that were removed since. */
+    @Test
+    void responseThatEndsBeforeItsOffsetIsNotApplied() throws Exception {
+        engine.respondsWith(200, eventsBody(7, 20, false, ""))
+                .respondsWith(200, eventsBody(7, 12, false, "[12,\"+\",\"s\",\"a\",10,\"m\"]"))
+                .respondsWith(200, "{\"epoch\":7,\"next_page_token\":21,\"held\":[[\"s\",\"b\",5,\"m\"]]}");
+        subscribeToEngine();
+
+        runNextTask();
+        assertThat(nextUpdate()).isEqualTo("events i-1 7");
+        runNextTask();
+        runNextTask();
+
+        assertThat(nextUpdate()).isEqualTo("list i-1 7 +s:b:5:m");
+    }
+
     @Test
     void newEpochRestartsFromTheOldestEvent() throws Exception {
         engine.respondsWith(200, eventsBody(7, 20, false, ""))
