--- a/controller/src/main/java/burlarch/controller/ControllerRuntime.java
+++ b/controller/src/main/java/burlarch/controller/ControllerRuntime.java
@@ -6,11 +6,11 @@
 import burlarch.controller.distribution.PrefixCacheEventForwarder;
 import burlarch.controller.distribution.QuorumReadGate;
 import burlarch.controller.distribution.RouterPublisher;
-import burlarch.controller.instances.DepartureRecorder;
 import burlarch.controller.instances.InstanceReplicator;
 import burlarch.controller.ownership.LeaseManager;
 import burlarch.controller.peers.ControllerMembershipView;
 import burlarch.controller.peers.ControllerPeers;
+import burlarch.controller.register.DepartureRecorder;
 import burlarch.controller.register.Proposer;
 import burlarch.controller.register.RegisterReplica;
 import burlarch.controller.register.RegisterStorage;
@@ -98,9 +98,16 @@
         RouterPublisher publisher =
                 new RouterPublisher(loop, environment.connections().codec(), registry);
         InstanceReplicator instances = new InstanceReplicator(
-                loop, registry, peers, publisher, register.quorumContact(), new DepartureRecorder(register.client()));
+                loop,
+                registry,
+                peers,
+                publisher,
+                register.quorumContact(),
+                new DepartureRecorder(register.client(), register.quorumContact()));
         register.committed().addListener(publisher::onCommitted);
-        register.committed().addListener((state, origin) -> instances.onCommitted(state));
+        register.committed()
+                .addListener((state, origin) ->
+                        instances.onDepartures(state.departures().numbers()));
         register.start(settings.toleratedLosses());
         startRollout(settings, registry, publisher, environment.engines());
         dispatcher.start(new MessageHandlers(
--- a/controller/src/main/java/burlarch/controller/instances/InstanceReplicator.java
+++ b/controller/src/main/java/burlarch/controller/instances/InstanceReplicator.java
@@ -1,11 +1,9 @@
 package burlarch.controller.instances;
 
 import burlarch.controller.distribution.RouterPublisher;
-import burlarch.controller.error.ControlException;
-import burlarch.controller.error.ErrorKind;
 import burlarch.controller.peers.ControllerPeers;
+import burlarch.controller.register.DepartureRecorder;
 import burlarch.controller.register.QuorumContactMonitor;
-import burlarch.controller.state.SystemState;
 import burlarch.coordination.registry.Instance;
 import burlarch.coordination.registry.InstanceRegistry;
 import burlarch.transport.EventLoop;
@@ -14,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -97,32 +96,29 @@
      * @return as that of {@link #onLeft}
      */
     public CompletableFuture<Void> recordDrain(String id) {
-        return registry.hasDeparted(id) ? CompletableFuture.completedFuture(null) : recordDeparture(id);
+        return registry.hasDeparted(id) ? CompletableFuture.completedFuture(null) : departures.recordDeparture(id);
     }
 
     /**
      * Handles an instance's announcement of its end at this controller: notifies the other nodes at once and records
      * the departure in the register.
      *
-     * @return future that completes when the departure outlasts the controllers' memory; it fails with a
-     *     {@link ControlException}
+     * @return as {@link DepartureRecorder#recordDeparture}
      */
     public CompletableFuture<Void> onLeft(String id) {
         Instance left = registry.leave(id, loop.nanoTime());
         peers.sendAll(new NodeMessage.InstanceAnnouncements(List.of(left)));
         publisher.sendInstances();
-        return recordDeparture(id);
+        return departures.recordDeparture(id);
     }
 
-    private CompletableFuture<Void> recordDeparture(String id) {
-        return quorumContact.hasContact()
-                ? departures.recordDeparture(id)
-                : CompletableFuture.failedFuture(new ControlException(ErrorKind.NO_QUORUM));
-    }
-
-    /** Applies the departures of a newly committed state. */
-    public void onCommitted(SystemState committed) {
-        registry.onDepartures(committed.departures().numbers(), loop.nanoTime());
+    /**
+     * Applies the departures of a newly committed state.
+     *
+     * @param numbers number of the departure, by the id of the instance
+     */
+    public void onDepartures(Map<String, Long> numbers) {
+        registry.onDepartures(numbers, loop.nanoTime());
         publisher.sendInstances();
     }
 
--- a/controller/src/main/java/burlarch/controller/instances/DepartureRecorder.java
+++ b/controller/src/main/java/burlarch/controller/register/DepartureRecorder.java
@@ -1,6 +1,7 @@
-package burlarch.controller.instances;
+package burlarch.controller.register;
 
-import burlarch.controller.register.RegisterClient;
+import burlarch.controller.error.ControlException;
+import burlarch.controller.error.ErrorKind;
 import burlarch.controller.state.StateChanges;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -23,6 +24,7 @@
     }
 
     private final RegisterClient register;
+    private final QuorumContactMonitor quorumContact;
     private final Map<String, CompletableFuture<Void>> waitingDepartures = new LinkedHashMap<>();
     /** Ids of the instances whose return is being written. */
     private final Set<String> returning = new HashSet<>();
@@ -30,8 +32,9 @@
     private WriteState writeState = WriteState.IDLE;
 
     /** Creates a recorder without waiting departures. */
-    public DepartureRecorder(RegisterClient register) {
+    public DepartureRecorder(RegisterClient register, QuorumContactMonitor quorumContact) {
         this.register = register;
+        this.quorumContact = quorumContact;
     }
 
     /**
@@ -39,9 +42,12 @@
      *
      * @param id a {@linkplain StateChanges#isValidName valid name}
      * @return future that completes when the register contains the departure; it fails with a
-     *     {@link burlarch.controller.error.ControlException}
+     *     {@link ControlException}, at once if this controller has no contact to a quorum
      */
-    CompletableFuture<Void> recordDeparture(String id) {
+    public CompletableFuture<Void> recordDeparture(String id) {
+        if (!quorumContact.hasContact()) {
+            return CompletableFuture.failedFuture(new ControlException(ErrorKind.NO_QUORUM));
+        }
         CompletableFuture<Void> recorded = waitingDepartures.computeIfAbsent(id, key -> new CompletableFuture<>());
         writeIfIdle();
         return recorded;
@@ -76,7 +82,7 @@
      *
      * @param departure number of the departure from which it has returned
      */
-    void recordReturn(String id, long departure) {
+    public void recordReturn(String id, long departure) {
         if (returning.add(id)) {
             register.change(state -> StateChanges.instanceReturned(state, id, departure))
                     .whenComplete((state, failure) -> returning.remove(id));
