--- a/simulation/src/main/java/burlarch/simulation/coordination/check/Rule.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/check/Rule.java
@@ -41,6 +41,8 @@
     ONE_LEASE_HOLDER("one"),
     /** No holder sends the same order twice. */
     NO_DUPLICATE_ORDER("twice"),
+    /** No engine accepts an order for older weights than it has loaded or was ordered to load. */
+    NEWER_WEIGHTS_KEPT("older"),
     /** After all faults have ended, a change and a read succeed. */
     PROGRESS("stuck"),
     /** No component throws an exception that its caller does not expect. */
--- a/simulation/src/main/java/burlarch/simulation/coordination/fault/FaultKind.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/fault/FaultKind.java
@@ -226,6 +226,19 @@
             "(delay)",
             Loss.ALL_CONTROLLERS,
             (steps, at, length) -> steps.addLasting(at, length, "delay 0.01 " + steps.drawFigure(0.02, 0.32))),
+    HELD_UP_ORDERS("(held-up orders, version_bump)", Loss.NONE, (steps, at, length) -> steps.holdUpOrders(at, length)),
+    HELD_UP_ANNOUNCEMENTS(
+            "(held-up announcements)",
+            Loss.NONE,
+            (steps, at, length) -> steps.holdUp(at, length, steps.instance(), "core-*")),
+    LATE_COPIES(
+            "(late copies)",
+            Loss.NONE,
+            (steps, at, length) -> steps.addLasting(at, length, "late-copies " + steps.drawFigure(0.1, 0.5))),
+    RESTART_AFTER_DEPARTURES(
+            "(late heartbeats, all restart)",
+            Loss.ALL_CONTROLLERS,
+            (steps, at, length) -> steps.restartAllAfterDepartures(at)),
     DUPLICATES("(duplicates)", Loss.NONE, (steps, at, length) -> steps.addLasting(at, length, "duplicate 0.2")),
     QUOTA(
             "(processor quota of all)",
--- a/simulation/src/main/java/burlarch/simulation/coordination/fault/FaultStepWriter.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/fault/FaultStepWriter.java
@@ -24,6 +24,12 @@
     private static final double MAX_MASS_FAILURE = 1;
     private static final double REPLACEMENT_PARTITION = 6;
     private static final int ZONES = 3;
+    /** Time in which each instance sends at least one heartbeat. */
+    private static final double HEARTBEATS_BEFORE_DRAIN = 1.3;
+    /** Time after which most of the drains are acknowledged, and after which the leaves that follow them are. */
+    private static final double DRAIN_ACKNOWLEDGED = 0.4;
+
+    private static final double LEAVE_ACKNOWLEDGED = 2.8;
     /** Machines besides controllers that may be on one side of a split only. */
     private static final List<String> SPLIT_MACHINES =
             List.of("router-1", "operator-1", "operator-2", "engine-1", "server-1");
@@ -89,6 +95,30 @@
         add(at, "cut " + first + " " + direction + " " + second + " for " + format(length));
     }
 
+    /** Holds up all that some machines send to others. */
+    void holdUp(double at, double length, String first, String second) {
+        add(at, "hold " + first + " to " + second + " for " + format(length));
+    }
+
+    /** Holds up all that controllers send to the engines while new weights are named, and then newer ones. */
+    void holdUpOrders(double at, double length) {
+        holdUp(at, length, "core-*", "engine-*");
+        add(at, "call weights any");
+        add(at + length / 2, "call weights any");
+    }
+
+    /**
+     * Lets all instances end, and kills controllers and routers once the drains or the leaves are acknowledged. Copies
+     * of heartbeats from before arrive afterwards.
+     */
+    void restartAllAfterDepartures(double at) {
+        add(at, "late-copies 0.5 for " + format(HEARTBEATS_BEFORE_DRAIN));
+        double drain = at + HEARTBEATS_BEFORE_DRAIN;
+        add(drain, "drain engine-*,server-*");
+        double kill = drain + (drawBoolean() ? DRAIN_ACKNOWLEDGED : LEAVE_ACKNOWLEDGED) + random.nextDouble();
+        add(kill, "kill core-*,router-* for " + format(drawMassFailureSeconds()));
+    }
+
     /** Partitions a controller from all others. */
     void partitionController(double at, double length, String controller) {
         partition(at, length, controller, "from", "core-*");
--- a/simulation/src/main/java/burlarch/simulation/coordination/fleet/FleetStepHandler.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/fleet/FleetStepHandler.java
@@ -27,6 +27,8 @@
  * at T disk-full WHO for D         at T disk-stall WHO for D      at T disk-slow WHO TIMES for D
  * at T clock WHO SECONDS [for D]   (its wall clock steps, and back)
  * at T cut WHO from WHO [for D]    at T cut WHO to WHO [for D]    (partition both ways; one way)
+ * at T hold WHO to WHO for D       (messages arrive after the end, some of them seconds late)
+ * at T late-copies SHARE for D     (probability that a call's message arrives once more, seconds late)
  * at T break WHO SHARE             (closes each of its connections with this probability)
  * at T hup WHO                     (SIGHUP)
  * at T seeds WHO                   (the settings name these first)
--- a/simulation/src/main/java/burlarch/simulation/coordination/node/InstanceNode.java
+++ b/simulation/src/main/java/burlarch/simulation/coordination/node/InstanceNode.java
@@ -246,6 +246,7 @@
             return OrderResult.ALREADY_LOADED;
         }
         acceptedOrders++;
+        checkers.orders().onAccepted(id, order, weightsVersion);
         triggers.fire(EventTriggers.Event.TAKEN);
         load(order.version());
         return OrderResult.ACCEPTED;
--- a/simulation/src/test/java/burlarch/simulation/SimulationTest.java
+++ b/simulation/src/test/java/burlarch/simulation/SimulationTest.java
@@ -3,10 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Tests the simulated network, process faults, clocks and repeatability of the simulation. */
@@ -144,4 +146,37 @@
         simulation.runFor(Simulation.SECOND);
         assertThat(recorders.get("a").longestTimerGapNanos).isEqualTo(10 * Simulation.MILLISECOND);
     }
+
+    @Test
+    void heldUpMessagesArriveAfterTheEndOfTheHoldUp() {
+        Simulation simulation = startTwoMachines(1, FIXED_LATENCY);
+        simulation.runUntil(Simulation.SECOND);
+        SimulatedNetwork.HoldUp holdUp = simulation.network().holdUp(Set.of("a"), Set.of("b"), 2 * Simulation.SECOND);
+        int receivedBefore = recorders.get("b").received.size();
+        simulation.runUntil(2 * Simulation.SECOND - 1);
+        int sentBefore = recorders.get("a").nextNumber;
+        assertThat(recorders.get("b").received.size() - receivedBefore).isLessThanOrEqualTo(1);
+
+        simulation.network().release(holdUp);
+        simulation.runUntil(12 * Simulation.SECOND);
+        assertThat(recorders.get("b").received)
+                .containsAll(IntStream.range(0, sentBefore).boxed().toList());
+    }
+
+    @Test
+    void lateCopiesAreOfTheMessagesThatTheFilterAccepts() {
+        Simulation simulation = startTwoMachines(1, FIXED_LATENCY);
+        simulation.network().setLateCopies(1, message -> (int) message % 2 == 0);
+        simulation.runUntil(Simulation.SECOND);
+        simulation.network().setLateCopies(0, message -> false);
+        int numbers = recorders.get("a").nextNumber;
+        simulation.runUntil(10 * Simulation.SECOND);
+
+        List<Object> received = recorders.get("b").received;
+        for (int number = 1; number < numbers - 1; number++) {
+            assertThat(Collections.frequency(received, number))
+                    .as("number %d", number)
+                    .isEqualTo(number % 2 == 0 ? 2 : 1);
+        }
+    }
 }
--- a/simulation/src/test/java/burlarch/simulation/coordination/CoordinationSearchTest.java
+++ b/simulation/src/test/java/burlarch/simulation/coordination/CoordinationSearchTest.java
@@ -56,6 +56,14 @@
                 .isEmpty();
     }
 
+    /** Guards against a late heartbeat of a process that has crashed, which takes the address of the live instance. */
+    @Test
+    void lateHeartbeatOfEarlierIncarnationDoesNotDisplaceTheLiveInstance() throws IOException {
+        CoordinationScenario scenario = scenario("late-heartbeat-of-earlier-incarnation");
+        assertThat(CoordinationRun.play(scenario, ComponentOverrides.NONE).violations())
+                .isEmpty();
+    }
+
     @Test
     void replayOfParsedScenarioGivesSameResult() {
         CoordinationScenario scenario = CoordinationSearch.scenario(3);
--- a/simulation/src/test/java/burlarch/simulation/coordination/planted/PlantedFault.java
+++ b/simulation/src/test/java/burlarch/simulation/coordination/planted/PlantedFault.java
@@ -51,6 +51,8 @@
     UNCLEAR_IS_REFUSED(1, PlantedServiceFaults.ReportsUnclearAsRejected::new, Rule.REJECTED_IS_FINAL),
     SHORT_LEASE(1, PlantedLeaseFaults.ShortenedLeaseWait::new, Rule.ONE_LEASE_HOLDER),
     UNEVEN_LEASES(1, PlantedLeaseFaults.DifferentLeaseDurations::new, Rule.ONE_LEASE_HOLDER),
+    FORGETS_DEPARTURES(1, PlantedRegisterFaults.ForgetsDepartures::new, Rule.ENDED_INSTANCE_REMOVED),
+    ORDERS_ANY_REVISION(500, PlantedLeaseFaults.OrdersAnyRevision::new, Rule.NEWER_WEIGHTS_KEPT),
     DOUBLED_ORDERS(1, PlantedLeaseFaults.SendsOrdersTwice::new, Rule.NO_DUPLICATE_ORDER),
     ONE_TOKEN(1, PlantedLeaseFaults.ConstantFencingToken::new, Rule.ONE_LEASE_HOLDER),
     TAKES_OLDER(1, PlantedRouterFaults.ReappliesPreviousConfiguration::new, Rule.ROUTER_VERSION_RISES),
--- a/simulation/src/test/java/burlarch/simulation/coordination/planted/PlantedLeaseFaults.java
+++ b/simulation/src/test/java/burlarch/simulation/coordination/planted/PlantedLeaseFaults.java
@@ -91,6 +91,22 @@
         }
     }
 
+    /** Weights orders do not state how many orders the engine has accepted before. */
+    static final class OrdersAnyRevision extends RewritesOrders {
+        @Override
+        CompletableFuture<OrderResult> send(EngineControlClient real, EngineAddress target, WeightsOrder order) {
+            return real.order(
+                    target,
+                    new WeightsOrder(
+                            order.model(),
+                            order.version(),
+                            order.mode(),
+                            order.holder(),
+                            order.fenceToken(),
+                            WeightsOrder.ANY_REVISION));
+        }
+    }
+
     /** All holders use the same fencing token. */
     static final class ConstantFencingToken extends RewritesOrders {
         @Override
--- a/simulation/src/test/java/burlarch/simulation/coordination/planted/PlantedRegisterFaults.java
+++ b/simulation/src/test/java/burlarch/simulation/coordination/planted/PlantedRegisterFaults.java
@@ -3,6 +3,7 @@
 import burlarch.controller.ControllerRuntime;
 import burlarch.controller.register.Proposer;
 import burlarch.controller.state.AppliedChanges;
+import burlarch.controller.state.DepartedInstances;
 import burlarch.controller.state.SystemState;
 import burlarch.controller.state.SystemStateCodec;
 import burlarch.coordination.register.RegisterMessage;
@@ -105,6 +106,23 @@
         }
     }
 
+    /** Departures of instances are acknowledged and not kept in the register. */
+    static final class ForgetsDepartures extends RewritesProposedValues {
+        @Override
+        RegisterValue rewrite(RegisterValue current, RegisterValue next) {
+            SystemState state = SystemStateCodec.decode(next.payload());
+            SystemState stateWithoutDepartures = new SystemState(
+                    state.configurationVersion(),
+                    state.configuration(),
+                    state.appliedChanges(),
+                    state.weights(),
+                    state.owners(),
+                    state.nextToken(),
+                    DepartedInstances.NONE);
+            return new RegisterValue(next.members(), SystemStateCodec.encode(stateWithoutDepartures));
+        }
+    }
+
     /** A removed acceptor keeps its vote. */
     static final class RemovedAcceptorKeepsVote extends RewritesProposedValues {
         @Override
