--- a/coordination/src/main/java/burlarch/coordination/registry/InstanceRegistry.java
+++ b/coordination/src/main/java/burlarch/coordination/registry/InstanceRegistry.java
@@ -27,7 +27,8 @@
  *   <li><em>Return after a loss</em>: a lost instance keeps its last sequence, so its next announcement brings it
  *       back.
  *   <li><em>One instance per address</em>: a newer announcement of another id at an address removes the previous
- *       instance.
+ *       instance, unless only the new one drains: then it is the late announcement of an earlier process, as a process
+ *       is READY before it drains.
  *   <li><em>Loss only in contact</em>: no instance is lost to missing heartbeats during a grace period, in which this
  *       controller may have missed them.
  * </ul>
@@ -275,8 +276,13 @@
     }
 
     private void claimAddress(RegistryEntry entry, long nowNanos) {
-        RegistryEntry previous = byAddress.put(entry.address(), entry);
-        if (previous != null && previous != entry) {
+        RegistryEntry previous = byAddress.get(entry.address());
+        boolean hasOther = previous != null && previous != entry;
+        if (hasOther && entry.isDraining() && !previous.isDraining()) {
+            return;
+        }
+        byAddress.put(entry.address(), entry);
+        if (hasOther) {
             removeLost(previous, nowNanos);
         }
     }
