--- a/emulator/src/main/java/burlarch/emulator/demo/DemoInstances.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/DemoInstances.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** Emulated engines, KV store and plain instances of the demo. Its methods may be called on any thread. */
 final class DemoInstances implements AutoCloseable {
@@ -72,10 +73,22 @@
         return engine;
     }
 
-    synchronized void startPlainInstance(String service) throws IOException {
+    synchronized PlainServer startPlainInstance(String service) throws IOException {
         PlainServer plain = new PlainServer(nextIdentity(service, PLAIN_SLOTS), executions, PLAIN_WORK_MILLIS);
         otherInstances.add(plain);
         startAndRegister(plain);
+        return plain;
+    }
+
+    /** Removes the oldest instance of a service from those that {@link #close} stops, and returns it. */
+    synchronized EmulatedInstance takeOldest(String service) {
+        EmulatedInstance oldest = Stream.concat(engines.stream(), otherInstances.stream())
+                .filter(instance -> instance.identity().service().equals(service))
+                .findFirst()
+                .orElseThrow();
+        engines.remove(oldest);
+        otherInstances.remove(oldest);
+        return oldest;
     }
 
     /** Starts the KV store, which is not announced to controllers; returns its address. */
--- a/emulator/src/main/java/burlarch/emulator/demo/DemoOperator.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/DemoOperator.java
@@ -7,20 +7,27 @@
 
 /** Operator of the demo: submits configurations and announces weights. */
 final class DemoOperator {
-    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration DEFAULT_CALL_TIMEOUT = Duration.ofSeconds(20);
 
     private final ControllerClient controllerClient;
+    private final Duration callTimeout;
     private final List<Long> submittedVersions = new ArrayList<>();
 
     DemoOperator(ControllerClient controllerClient) {
+        this(controllerClient, DEFAULT_CALL_TIMEOUT);
+    }
+
+    /** @param callTimeout how long a call is repeated until it is acknowledged or rejected */
+    DemoOperator(ControllerClient controllerClient, Duration callTimeout) {
         this.controllerClient = controllerClient;
+        this.callTimeout = callTimeout;
     }
 
     /** Submits the first configuration; returns whether it was acknowledged. */
     boolean createConfiguration(long version, String storeAddress) throws InterruptedException {
         submittedVersions.add(version);
         return controllerClient
-                .call("PUT", "/burlarch/config", DemoConfiguration.initial(version, storeAddress), "0", CALL_TIMEOUT)
+                .call("PUT", "/burlarch/config", DemoConfiguration.initial(version, storeAddress), "0", callTimeout)
                 .ok();
     }
 
@@ -34,7 +41,7 @@
                         "/burlarch/config",
                         DemoConfiguration.patch(version, previousVersion, readService),
                         Long.toString(previousVersion),
-                        CALL_TIMEOUT)
+                        callTimeout)
                 .ok();
     }
 
@@ -46,13 +53,13 @@
                         "/burlarch/version-put",
                         "{\"model\":\"" + DemoConfiguration.MODEL + "\",\"config_version\":" + version + "}",
                         null,
-                        CALL_TIMEOUT)
+                        callTimeout)
                 .ok();
     }
 
     /** Reads the configuration; returns whether it has the newest submitted version. */
     boolean readReturnsNewestVersion() throws InterruptedException {
-        ControllerClient.Response response = controllerClient.call("GET", "/burlarch/config", null, null, CALL_TIMEOUT);
+        ControllerClient.Response response = controllerClient.call("GET", "/burlarch/config", null, null, callTimeout);
         return response.ok() && response.body().contains("\"config_version\":" + newestVersion() + ",");
     }
 
--- a/emulator/src/main/java/burlarch/emulator/demo/Main.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/Main.java
@@ -11,7 +11,7 @@
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 
-/** Command line of the emulator, with the commands {@code fleet-demo} and {@code fleet-bench}. */
+/** Command line of the emulator, with the commands {@code fleet-demo}, {@code fleet-bench} and {@code soak}. */
 public final class Main {
     static final int PASSED = 0;
     static final int FAILED = 1;
@@ -32,6 +32,17 @@
               stream events at half a core, memory with 300 open streams.
               --seconds N    of each measurement, 5 or more (default 10)
               --home FOLDER  with deploy/system.toml and the build (default: the working directory)
+            burlarch soak [--seed N] [--seconds N] [--routers N] [--home FOLDER] [--record FILE] [--logs FOLDER]
+              Starts 3 controllers and some routers as the deployment does, and in this process instances and
+              clients that use their connections until the processes are gone. A plan that is drawn by the seed
+              terminates, kills, pauses and restarts processes, changes the configuration and the weights, and
+              replaces instances whose heartbeats arrive late. Names each violation of a rule, with its request.
+              --seed N       of the plan (default 1)
+              --seconds N    in which steps begin, 5 to 3600 (default 30); about 20 s more in all
+              --routers N    1 to 60 (default 3)
+              --home FOLDER  with deploy/system.toml and the build (default: the working directory)
+              --record FILE  for the steps, the violations and the counts, as JSON lines
+              --logs FOLDER  for the logs of the programs (default: a folder that is deleted afterwards)
             Exit codes:
               0  all requirements or goals are met
               1  a requirement or a goal is missed
@@ -46,7 +57,8 @@
     @Argument(metaVar = "COMMAND", required = true, handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "fleet-demo", impl = DemoOptions.class),
-        @SubCommand(name = "fleet-bench", impl = BenchOptions.class)
+        @SubCommand(name = "fleet-bench", impl = BenchOptions.class),
+        @SubCommand(name = "soak", impl = SoakOptions.class)
     })
     private Command options;
 
@@ -54,14 +66,11 @@
 
     /** Runs a command and ends the process. */
     public static void main(String[] arguments) {
-        // Clients set the Host header, and the HTTP client must not retry a request on its own.
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
-        System.setProperty("jdk.httpclient.disableRetryConnect", "true");
-        System.setProperty("sun.net.httpserver.nodelay", "true");
         System.exit(execute(arguments, System.out, System.err));
     }
 
     static int execute(String[] arguments, PrintStream output, PrintStream errors) {
+        configureHttp();
         Main main = new Main();
         try {
             new CmdLineParser(main, ParserProperties.defaults()).parseArgument(arguments);
@@ -86,6 +95,14 @@
         }
     }
 
+    /** Must be called before the first use of the HTTP client and server, which read these properties once. */
+    private static void configureHttp() {
+        // Clients set the Host header, and the HTTP client must not retry a request on its own.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
+        System.setProperty("jdk.httpclient.disableRetryConnect", "true");
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+    }
+
     /** A command with its options. */
     interface Command {
         boolean help();
@@ -118,6 +135,74 @@
         }
     }
 
+    /** Options of the soak. Public because args4j creates it. */
+    public static final class SoakOptions implements Command {
+        private static final int MIN_SECONDS = 5;
+        private static final int MAX_SECONDS = 3600;
+        private static final int MAX_ROUTERS = 60;
+
+        @Option(name = "--help", help = true)
+        private boolean help;
+
+        @Option(name = "--seed")
+        private long seed = 1;
+
+        @Option(name = "--seconds")
+        private int seconds = 30;
+
+        @Option(name = "--routers")
+        private int routers = 3;
+
+        @Option(name = "--home")
+        private Path home = Path.of("");
+
+        @Option(name = "--record")
+        private Path record;
+
+        @Option(name = "--logs")
+        private Path logs;
+
+        @Override
+        public boolean help() {
+            return help;
+        }
+
+        @Override
+        public boolean run(PrintStream output) throws Exception {
+            if (seconds < MIN_SECONDS || seconds > MAX_SECONDS) {
+                throw new IllegalArgumentException("--seconds must be from 5 to 3600");
+            }
+            if (routers < 1 || routers > MAX_ROUTERS) {
+                throw new IllegalArgumentException("--routers must be from 1 to 60");
+            }
+            return new Soak(this, output).run();
+        }
+
+        long seed() {
+            return seed;
+        }
+
+        int seconds() {
+            return seconds;
+        }
+
+        int routers() {
+            return routers;
+        }
+
+        Path home() {
+            return home;
+        }
+
+        Path record() {
+            return record;
+        }
+
+        Path logs() {
+            return logs;
+        }
+    }
+
     /** Options of the demo. Public because args4j creates it. */
     public static final class DemoOptions implements Command {
         private static final int MIN_SECONDS = 15;
--- a/emulator/src/main/java/burlarch/emulator/server/EmulatedInstance.java
+++ b/emulator/src/main/java/burlarch/emulator/server/EmulatedInstance.java
@@ -5,6 +5,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -17,6 +18,7 @@
  */
 public abstract class EmulatedInstance implements AutoCloseable {
     private static final int BACKLOG = 128;
+    private static final Duration HEARTBEAT_TIMEOUT = Duration.ofSeconds(2);
 
     private final InstanceIdentity identity;
     private final ExecutionListener executions;
@@ -136,6 +138,40 @@
         return acknowledged;
     }
 
+    /**
+     * Leaves without announcing that it drains: announces that it is gone, keeps serving for {@code drainMillis} and
+     * {@code lingerMillis}, and stops.
+     *
+     * @return whether a controller acknowledged the leave
+     */
+    public boolean leaveWithoutDrain(long drainMillis, long lingerMillis) throws InterruptedException {
+        boolean acknowledged = announcer.leave();
+        if (acknowledged) {
+            noRequestsAfterNanos = System.nanoTime() + drainMillis * 1_000_000;
+        }
+        Thread.sleep(drainMillis + lingerMillis);
+        close();
+        return acknowledged;
+    }
+
+    /**
+     * Takes the instance's next heartbeat, as if it were held up on its way.
+     *
+     * @param controllerClient calls the controller at which it arrives
+     * @return sends the heartbeat, however late
+     */
+    public HeldUpHeartbeat holdUpHeartbeat(ControllerClient controllerClient) {
+        String body = announcer.takeHeartbeat();
+        return () -> controllerClient.call("PUT", announcer.path(), body, null, HEARTBEAT_TIMEOUT);
+    }
+
+    /** A heartbeat that arrives late. */
+    @FunctionalInterface
+    public interface HeldUpHeartbeat {
+        /** Sends the heartbeat. */
+        void send() throws InterruptedException;
+    }
+
     @Override
     public void close() {
         if (announcer != null) {
--- a/emulator/src/main/java/burlarch/emulator/server/InstanceAnnouncer.java
+++ b/emulator/src/main/java/burlarch/emulator/server/InstanceAnnouncer.java
@@ -72,7 +72,12 @@
                 .ok();
     }
 
-    private String path() {
+    /** Returns the body of the next heartbeat, which its caller sends later than those that follow it. */
+    synchronized String takeHeartbeat() {
+        return body(++sequence);
+    }
+
+    String path() {
         return "/burlarch/instances/" + identity.id();
     }
 
--- a/emulator/src/test/java/burlarch/emulator/demo/MainTest.java
+++ b/emulator/src/test/java/burlarch/emulator/demo/MainTest.java
@@ -35,4 +35,13 @@
         assertThat(run("fleet-demo", "--jar", "no/such.jar")).isEqualTo(Main.COULD_NOT_RUN);
         assertThat(errors.toString()).contains("no/such.jar is not there").contains("mvn");
     }
+
+    @Test
+    void soakWithInvalidOptionsDoesNotStart() {
+        assertThat(run("soak", "--seed", "x")).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(run("soak", "--seconds", "1")).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(run("soak", "--routers", "61")).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(run("soak", "--home", "no/such")).isEqualTo(Main.COULD_NOT_RUN);
+        assertThat(errors.toString()).contains("--seconds must be", "--routers must be", "burlarch.jar is not there");
+    }
 }
