--- a/emulator/src/main/java/burlarch/emulator/demo/SoakProcess.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/SoakProcess.java
@@ -51,6 +51,10 @@
         return process.isAlive();
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     /** Reserves the process for one step; returns false if another step has it. */
     boolean reserve() {
         return reservation.tryAcquire();
