--- a/proxy/src/main/java/burlarch/proxy/ClientConnection.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientConnection.java
@@ -59,6 +59,7 @@
     private final RequestDecoder decoder;
     private final RequestCollector bodyCollector;
     private final BodyBudget requestBudget;
+    private final RequestHeadMemory headMemory;
     /** Messages received while an earlier request was not yet answered. */
     private final ArrayDeque<ReceivedMessage> pipelined = new ArrayDeque<>(0);
     /** When the connection was opened or last sent a response. */
@@ -84,7 +85,8 @@
             Channel channel,
             RequestDecoder decoder,
             RequestCollector bodyCollector,
-            BodyBudget requestBudget) {
+            BodyBudget requestBudget,
+            RequestHeadMemory headMemory) {
         super(false);
         this.listener = listener;
         this.handler = handler;
@@ -93,6 +95,7 @@
         this.decoder = decoder;
         this.bodyCollector = bodyCollector;
         this.requestBudget = requestBudget;
+        this.headMemory = headMemory;
         this.idleSinceNanos = clock.nowNanos();
     }
 
@@ -157,6 +160,8 @@
     private void releaseMessage(Object message) {
         if (message instanceof FullHttpRequest request) {
             requestBudget.release(request.content().readableBytes());
+            headMemory.release(request.headers());
+            headMemory.release(request.trailingHeaders());
             request.release();
         }
     }
@@ -294,6 +299,7 @@
         closing = true;
         pipelined.forEach(received -> releaseMessage(received.message));
         pipelined.clear();
+        headMemory.close();
         if (abandonRequest != null) {
             abandonRequest.run();
             abandonRequest = null;
--- a/proxy/src/main/java/burlarch/proxy/ClientListener.java
+++ b/proxy/src/main/java/burlarch/proxy/ClientListener.java
@@ -2,11 +2,13 @@
 
 import burlarch.proxy.ClientConnection.Activity;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.SocketAddress;
@@ -32,6 +34,12 @@
     /** Limits the wait for an iteration without accepts: under load, every iteration may accept some. */
     private static final int MAX_CLOSE_ATTEMPTS = 20;
 
+    /**
+     * Buffers of reads from clients. A partial line keeps the buffer of its read, so the largest size is bounded by the
+     * direct memory that all connections may hold.
+     */
+    private static final RecvByteBufAllocator READ_BUFFERS = new AdaptiveRecvByteBufAllocator(64, 2048, 8192);
+
     private final EventLoop loop;
     private final ProxyClock clock;
     private final RequestReader reader;
@@ -39,6 +47,7 @@
     private final int maxConnections;
     private final BodyBudget requestBudget =
             new BodyBudget(RequestCollector.MAX_HELD_BYTES, BodyBudget.MAX_EXCESS_BYTES);
+    private final BodyBudget headBudget = RequestHeadMemory.newBudget();
     private final BodyBudget responseBudget;
     /** Open connections, in the order in which they were opened. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -84,6 +93,7 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, READ_BUFFERS)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -104,10 +114,11 @@
     /** Sets up the pipeline of an accepted connection. */
     void install(Channel channel, RequestHandler.Port port) {
         RequestHandler handler = port.open(channel);
-        RequestDecoder decoder = new RequestDecoder(clock);
+        RequestHeadMemory headMemory = new RequestHeadMemory(headBudget);
+        RequestDecoder decoder = new RequestDecoder(clock, headMemory);
         RequestCollector collector = new RequestCollector(requestBudget);
         ClientConnection connection =
-                new ClientConnection(this, handler, clock, channel, decoder, collector, requestBudget);
+                new ClientConnection(this, handler, clock, channel, decoder, collector, requestBudget, headMemory);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), collector, connection);
         connections.add(connection);
     }
--- a/proxy/src/main/java/burlarch/proxy/RequestReader.java
+++ b/proxy/src/main/java/burlarch/proxy/RequestReader.java
@@ -54,10 +54,7 @@
     static void checkFraming(FullHttpRequest request) throws Rejection {
         DecoderResult result = request.decoderResult();
         if (result.isFailure()) {
-            throw new Rejection(
-                    result.cause() instanceof TooLongHttpHeaderException
-                            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                            : HttpResponseStatus.BAD_REQUEST);
+            throw new Rejection(statusOf(result.cause()));
         }
         // Request smuggling: a body that two implementations delimit differently may contain another request.
         List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
@@ -67,6 +64,15 @@
         }
     }
 
+    private static HttpResponseStatus statusOf(Throwable decoderFailure) {
+        if (decoderFailure instanceof RequestHeadMemory.BudgetExceededException) {
+            return HttpResponseStatus.TOO_MANY_REQUESTS;
+        }
+        return decoderFailure instanceof TooLongHttpHeaderException
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
     /**
      * Validates a request and computes its deadline.
      *
