--- a/proxy/src/main/java/burlarch/proxy/ProxyMain.java
+++ b/proxy/src/main/java/burlarch/proxy/ProxyMain.java
@@ -50,6 +50,8 @@
     private static final long FIRST_LIST_TIMEOUT_MS = 2000;
     /** Time for the log's thread to write the last lines before the program exits. */
     private static final long LOG_FLUSH_TIMEOUT_MS = 100;
+    /** Exit status after a failure of the event loop. */
+    private static final int LOOP_FAILED_STATUS = 3;
     /** Signal number on Linux. */
     private static final int SIGUSR1 = 10;
 
@@ -93,6 +95,8 @@
 
     private MembershipWatch membershipWatch;
     private boolean ready;
+    /** Whether this program ends its event loop. */
+    private volatile boolean stopping;
     /** Number of reloads requested so far; numbers them. */
     private final AtomicInteger reloadCount = new AtomicInteger();
     /** Number of the latest reload that was applied. */
@@ -167,6 +171,7 @@
             }
             // Before the port is bound: requests arrive from then on, and a SIGTERM without the hook would lose them.
             Runtime.getRuntime().addShutdownHook(new Thread(main::drain, "burlarch-drain"));
+            main.haltIfLoopFails();
             main.start(config);
         } catch (ProxyConfig.ConfigException | SettingsException e) {
             exitWithError(e.getMessage());
@@ -175,6 +180,19 @@
         }
     }
 
+    /**
+     * Ends the process if the event loop ends by an error of the virtual machine: without its loop it would answer
+     * nothing, and the platform starts another process only after this one has ended.
+     */
+    private void haltIfLoopFails() {
+        group.terminationFuture().addListener(terminated -> {
+            if (!stopping) {
+                System.err.println("burlarch: the event loop has failed");
+                Runtime.getRuntime().halt(LOOP_FAILED_STATUS);
+            }
+        });
+    }
+
     /**
      * Runs a proxy on loopback against stand-in servers, serves some requests, and ends. The build archives the
      * classes that this loads (class data sharing), so that the JVM maps them at each start instead of reading
@@ -438,6 +456,7 @@
         if (statusPage != null) {
             statusPage.close();
         }
+        stopping = true;
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
@@ -458,6 +477,7 @@
             if (traceRecorder != null) {
                 traceRecorder.close();
             }
+            stopping = true;
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(200, TimeUnit.MILLISECONDS);
             Log.flush(LOG_FLUSH_TIMEOUT_MS);
         } catch (InterruptedException e) {
