--- a/controller/src/main/java/burlarch/controller/ControllerProgram.java
+++ b/controller/src/main/java/burlarch/controller/ControllerProgram.java
@@ -141,7 +141,11 @@
 
     private static void startControlServer(
             NodeSettings settings, ControlService service, MembershipService membership) {
-        ControlServer server = new ControlServer(settings.listen().control(), service, CALL_TIMEOUT_MILLIS);
+        ControlServer server = new ControlServer(
+                settings.listen().control(),
+                service,
+                CALL_TIMEOUT_MILLIS,
+                settings.limits().maxDescriptors());
         try {
             server.start();
         } catch (Exception e) {
--- a/controller/src/main/java/burlarch/controller/api/ControlHandler.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlHandler.java
@@ -2,7 +2,7 @@
 
 import burlarch.controller.error.ControlException;
 import burlarch.controller.error.ErrorKind;
-import burlarch.node.http.RequestBodyBudget;
+import burlarch.node.http.RequestMemoryBudget;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -22,10 +22,10 @@
     private static final long NO_VERSION = 0;
 
     private final ControlService service;
-    private final RequestBodyBudget budget;
+    private final RequestMemoryBudget budget;
     private final long callTimeoutMillis;
 
-    ControlHandler(ControlService service, RequestBodyBudget budget, long callTimeoutMillis) {
+    ControlHandler(ControlService service, RequestMemoryBudget budget, long callTimeoutMillis) {
         this.service = service;
         this.budget = budget;
         this.callTimeoutMillis = callTimeoutMillis;
--- a/controller/src/main/java/burlarch/controller/api/ControlServer.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlServer.java
@@ -1,7 +1,9 @@
 package burlarch.controller.api;
 
+import burlarch.node.http.BoundedHttpConnectionFactory;
+import burlarch.node.http.ConnectionBounds;
 import burlarch.node.http.ConnectorShutdown;
-import burlarch.node.http.RequestBodyBudget;
+import burlarch.node.http.RequestMemoryBudget;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
@@ -9,7 +11,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -27,6 +28,16 @@
     private static final int SELECTORS = 1;
     private static final int BACKLOG = 256;
     private static final int MAX_CONNECTIONS = 1024;
+    private static final int DEFAULT_MAX_DESCRIPTORS = 4096;
+    /** Descriptors of the virtual machine's files, the listeners and the fleet's connections. */
+    private static final int RESERVED_DESCRIPTORS = 100;
+    /** Memory of the heads of all calls, which is several times the bytes that were received. */
+    private static final long MAX_HEAD_BYTES = 10L << 20;
+
+    private static final long BYTES_FOR_ORDINARY_HEADS = 6L << 20;
+    /** Time within which the head of a call must arrive; callers wait one second for a response. */
+    private static final long HEAD_TIMEOUT_MILLIS = TimeUnit.SECONDS.toMillis(4);
+
     private static final long IDLE_TIMEOUT_MILLIS = TimeUnit.SECONDS.toMillis(30);
     /** Longest wait for pending calls at the shutdown: callers wait no longer for a response. */
     private static final long MAX_CALL_WAIT_MILLIS = 1000;
@@ -35,18 +46,34 @@
     private final ServerConnector connector;
     private final ControlCallHandler handler;
 
+    /** As {@link #ControlServer(InetSocketAddress, ControlService, long, int)}, with many descriptors. */
+    public ControlServer(InetSocketAddress address, ControlService service, long callTimeoutMillis) {
+        this(address, service, callTimeoutMillis, DEFAULT_MAX_DESCRIPTORS);
+    }
+
     /**
      * Creates a server that is not started yet.
      *
      * @param address to listen on; port 0 for any free port
      * @param callTimeoutMillis time after the request's last byte at which a pending call is answered with 503. Callers
      *     time out after one second, so it must be less
+     * @param maxDescriptors descriptors that the process may open
      */
-    public ControlServer(InetSocketAddress address, ControlService service, long callTimeoutMillis) {
+    public ControlServer(
+            InetSocketAddress address, ControlService service, long callTimeoutMillis, int maxDescriptors) {
         this(
                 address,
+                maxDescriptors,
                 new ControlHandler(
-                        service, new RequestBodyBudget(RequestBodyLimits.MAX_TOTAL_BYTES), callTimeoutMillis));
+                        service,
+                        new RequestMemoryBudget(
+                                RequestBodyLimits.MAX_TOTAL_BYTES, RequestBodyLimits.BYTES_FOR_SMALL_BODIES),
+                        callTimeoutMillis));
+    }
+
+    /** As {@link #redirecting(InetSocketAddress, Supplier, int)}, with many descriptors. */
+    public static ControlServer redirecting(InetSocketAddress address, Supplier<Optional<String>> target) {
+        return redirecting(address, target, DEFAULT_MAX_DESCRIPTORS);
     }
 
     /**
@@ -55,25 +82,29 @@
      * @param address to listen on; port 0 for any free port
      * @param target supplies the control address, IP:PORT, to which one call is redirected, or empty if none is known;
      *     called on any thread
+     * @param maxDescriptors descriptors that the process may open
      */
-    public static ControlServer redirecting(InetSocketAddress address, Supplier<Optional<String>> target) {
-        return new ControlServer(address, new RedirectHandler(target));
+    public static ControlServer redirecting(
+            InetSocketAddress address, Supplier<Optional<String>> target, int maxDescriptors) {
+        return new ControlServer(address, maxDescriptors, new RedirectHandler(target));
     }
 
-    private ControlServer(InetSocketAddress address, ControlCallHandler handler) {
+    private ControlServer(InetSocketAddress address, int maxDescriptors, ControlCallHandler handler) {
         this.handler = handler;
+        int maxConnections = Math.max(1, Math.min(MAX_CONNECTIONS, (maxDescriptors - RESERVED_DESCRIPTORS) / 2));
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setReservedThreads(0);
         threads.setName("control");
         server = new Server(threads);
-        connector =
-                new ServerConnector(server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(withoutServerHeaders()));
+        ConnectionBounds bounds = new ConnectionBounds(MAX_HEAD_BYTES, BYTES_FOR_ORDINARY_HEADS, HEAD_TIMEOUT_MILLIS);
+        connector = new ServerConnector(
+                server, ACCEPTORS, SELECTORS, new BoundedHttpConnectionFactory(withoutServerHeaders(), bounds));
         connector.setHost(address.getHostString());
         connector.setPort(address.getPort());
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         connector.setAcceptQueueSize(BACKLOG);
         server.addConnector(connector);
-        server.addBean(new NetworkConnectionLimit(MAX_CONNECTIONS, connector));
+        server.addBean(new NetworkConnectionLimit(maxConnections, connector));
         server.setHandler(handler);
     }
 
--- a/controller/src/main/java/burlarch/controller/redirect/ControlRedirectorProgram.java
+++ b/controller/src/main/java/burlarch/controller/redirect/ControlRedirectorProgram.java
@@ -38,7 +38,10 @@
 
     private void start(NodeSettings settings) throws Exception {
         onSettings(settings);
-        ControlServer server = ControlServer.redirecting(settings.listen().control(), this::chooseTarget);
+        ControlServer server = ControlServer.redirecting(
+                settings.listen().control(),
+                this::chooseTarget,
+                settings.limits().maxDescriptors());
         server.start();
         MembershipService membership = joinMembership(settings);
         SettingsFileWatcher.start(this::onSettings);
--- a/node/src/main/java/burlarch/node/http/RequestBodyBuffer.java
+++ b/node/src/main/java/burlarch/node/http/RequestBodyBuffer.java
@@ -26,7 +26,7 @@
     private static final int GROWTH_FACTOR = 2;
     private static final byte[] EMPTY = {};
 
-    private final RequestBodyBudget budget;
+    private final RequestMemoryBudget budget;
     private final int maxBytes;
     private final long declaredBytes;
     private byte[] bytes = EMPTY;
@@ -39,7 +39,7 @@
      * @param maxBytes size limit of the body
      * @param declaredBytes its Content-Length; negative if it is not known
      */
-    public RequestBodyBuffer(RequestBodyBudget budget, int maxBytes, long declaredBytes) {
+    public RequestBodyBuffer(RequestMemoryBudget budget, int maxBytes, long declaredBytes) {
         this.budget = budget;
         this.maxBytes = maxBytes;
         this.declaredBytes = declaredBytes;
--- a/router/src/main/java/burlarch/router/RouterServer.java
+++ b/router/src/main/java/burlarch/router/RouterServer.java
@@ -5,6 +5,8 @@
 import burlarch.configuration.RouteTable;
 import burlarch.engine.DelayedExecutor;
 import burlarch.engine.EngineHttpClientFactory;
+import burlarch.node.http.BoundedHttpConnectionFactory;
+import burlarch.node.http.ConnectionBounds;
 import burlarch.node.http.ConnectorShutdown;
 import burlarch.router.forwarding.CredentialValidity;
 import burlarch.router.forwarding.Exchange;
@@ -29,6 +31,7 @@
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -48,6 +51,13 @@
     /** Maximum number of client connections; further clients wait in the accept queue of the socket. */
     private static final int MAX_CLIENT_CONNECTIONS = 2500;
 
+    /** Memory of the heads of all client requests, which is several times the bytes that were received. */
+    private static final long MAX_HEAD_BYTES = 16L << 20;
+
+    private static final long BYTES_FOR_ORDINARY_HEADS = 10L << 20;
+    private static final long MAX_READINESS_HEAD_BYTES = 2L << 20;
+    private static final long BYTES_FOR_ORDINARY_READINESS_HEADS = 1L << 20;
+
     private static final int POOL_FACTOR_BYTES = 4096;
     private static final int POOL_MAX_CAPACITY_BYTES = 65536;
     private static final int POOL_MAX_BUCKET_SIZE = 64;
@@ -55,8 +65,9 @@
     private static final int DEFAULT_REQUEST_HEAD_BYTES = 16384;
     private static final int RESPONSE_HEAD_BYTES = 16384;
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 60_000;
-    /** Idle client connections are kept this much longer than the configured timeout. */
-    private static final long IDLE_TIMEOUT_SLACK_MILLIS = 1000;
+    private static final long DEFAULT_HEAD_TIMEOUT_MILLIS = 3000;
+    /** Heads may arrive, and idle client connections are kept, for this much longer than the configured timeouts. */
+    private static final long TIMEOUT_SLACK_MILLIS = 1000;
 
     private final RouterServerSettings settings;
     private final Function<Configuration, RouteTable> routeTableFactory;
@@ -70,6 +81,12 @@
     private final ForwardingContext context;
     private final ClientRequestHandler handler;
     private final HttpConfiguration httpConfiguration = newHttpConfiguration();
+    private final ConnectionBounds clientBounds = new ConnectionBounds(
+            MAX_HEAD_BYTES, BYTES_FOR_ORDINARY_HEADS, DEFAULT_HEAD_TIMEOUT_MILLIS + TIMEOUT_SLACK_MILLIS);
+    private final ConnectionBounds readinessBounds = new ConnectionBounds(
+            MAX_READINESS_HEAD_BYTES,
+            BYTES_FOR_ORDINARY_READINESS_HEADS,
+            DEFAULT_HEAD_TIMEOUT_MILLIS + TIMEOUT_SLACK_MILLIS);
     private ServerConnector clientConnector;
     private ServerConnector readinessConnector;
     private volatile boolean ready;
@@ -144,9 +161,10 @@
 
     /** Starts to listen at the addresses for clients and for readiness checks. */
     public void start() throws Exception {
-        clientConnector = addConnector(settings.front());
+        clientConnector = addConnector(settings.front(), new ClientConnectionFactory(httpConfiguration, clientBounds));
         clientConnector.setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
-        readinessConnector = addConnector(settings.readiness());
+        readinessConnector = addConnector(
+                settings.readiness(), new BoundedHttpConnectionFactory(httpConfiguration, readinessBounds));
         handler.setReadinessConnector(readinessConnector);
         server.addBean(new ConnectionLimit(MAX_CLIENT_CONNECTIONS, clientConnector));
         server.setHandler(handler);
@@ -156,9 +174,8 @@
         client.start();
     }
 
-    private ServerConnector addConnector(InetSocketAddress address) {
-        ServerConnector connector =
-                new ServerConnector(server, null, null, null, 0, 1, new ClientConnectionFactory(httpConfiguration));
+    private ServerConnector addConnector(InetSocketAddress address, HttpConnectionFactory connections) {
+        ServerConnector connector = new ServerConnector(server, null, null, null, 0, 1, connections);
         connector.setHost(address.getAddress().getHostAddress());
         connector.setPort(address.getPort());
         connector.setIdleTimeout(DEFAULT_IDLE_TIMEOUT_MILLIS);
@@ -195,7 +212,8 @@
         Limits limits = configuration.limits();
         if (limits != null) {
             httpConfiguration.setRequestHeaderSize(limits.maxHeaderBytes());
-            clientConnector.setIdleTimeout(limits.idleTimeoutMillis() + IDLE_TIMEOUT_SLACK_MILLIS);
+            clientConnector.setIdleTimeout(limits.idleTimeoutMillis() + TIMEOUT_SLACK_MILLIS);
+            clientBounds.setHeadTimeoutMillis(limits.headerTimeoutMillis() + TIMEOUT_SLACK_MILLIS);
         }
         planner.onConfiguration(configuration);
         context.setRouteTable(routeTable);
--- a/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
+++ b/router/src/main/java/burlarch/router/forwarding/ForwardingContext.java
@@ -1,7 +1,7 @@
 package burlarch.router.forwarding;
 
 import burlarch.configuration.RouteTable;
-import burlarch.node.http.RequestBodyBudget;
+import burlarch.node.http.RequestMemoryBudget;
 import burlarch.router.lifecycle.DrainState;
 import burlarch.router.lifecycle.StartupGate;
 import burlarch.router.upstream.UpstreamClient;
@@ -20,7 +20,7 @@
     private final StartupGate startupGate;
     private final DrainState drain;
     private final CredentialValidity credentialValidity;
-    private final RequestBodyBudget bodyBudget = new RequestBodyBudget(MAX_TOTAL_BODY_BYTES, SMALL_BODIES_BYTES);
+    private final RequestMemoryBudget bodyBudget = new RequestMemoryBudget(MAX_TOTAL_BODY_BYTES, SMALL_BODIES_BYTES);
     private final FailureLog failures = new FailureLog();
     private volatile RouteTable routeTable;
 
@@ -53,7 +53,7 @@
     }
 
     /** Budget for the bodies of all requests, complete or not. */
-    RequestBodyBudget bodyBudget() {
+    RequestMemoryBudget bodyBudget() {
         return bodyBudget;
     }
 
--- a/router/src/main/java/burlarch/router/server/ClientConnectionFactory.java
+++ b/router/src/main/java/burlarch/router/server/ClientConnectionFactory.java
@@ -1,16 +1,17 @@
 package burlarch.router.server;
 
+import burlarch.node.http.BoundedHttpConnection;
+import burlarch.node.http.BoundedHttpConnectionFactory;
+import burlarch.node.http.ConnectionBounds;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
-import org.eclipse.jetty.server.internal.HttpConnection;
 
 /**
- * Factory of client connections, which differ from Jetty's connections in two points.
+ * Factory of client connections, which differ from other bounded connections in two points.
  *
  * <ul>
  *   <li>{@link ClientResponse} does the chunked framing. Jetty sends the line end of a chunk together with the next
@@ -18,20 +19,22 @@
  *   <li>A request whose body is truncated by the end of input is never treated as complete.
  * </ul>
  */
-public final class ClientConnectionFactory extends HttpConnectionFactory {
+public final class ClientConnectionFactory extends BoundedHttpConnectionFactory {
     /** Creates a factory whose connections use the given configuration, including later changes of it. */
-    public ClientConnectionFactory(HttpConfiguration configuration) {
-        super(configuration);
+    public ClientConnectionFactory(HttpConfiguration configuration, ConnectionBounds bounds) {
+        super(configuration, bounds);
     }
 
     @Override
     public Connection newConnection(Connector connector, EndPoint endPoint) {
-        return configure(new PreFramedConnection(getHttpConfiguration(), connector, endPoint), connector, endPoint);
+        return configure(
+                new PreFramedConnection(getHttpConfiguration(), connector, endPoint, bounds()), connector, endPoint);
     }
 
-    private static final class PreFramedConnection extends HttpConnection {
-        PreFramedConnection(HttpConfiguration configuration, Connector connector, EndPoint endPoint) {
-            super(configuration, connector, endPoint);
+    private static final class PreFramedConnection extends BoundedHttpConnection {
+        PreFramedConnection(
+                HttpConfiguration configuration, Connector connector, EndPoint endPoint, ConnectionBounds bounds) {
+            super(configuration, connector, endPoint, bounds);
         }
 
         @Override
@@ -48,7 +51,7 @@
          * Reports each request whose body is truncated by the end of input. Jetty treats a chunked body as complete
          * if only the last line end is missing, and may end one without an error after the bytes of a chunk.
          */
-        private final class TruncationReportingHandler extends RequestHandler {
+        private final class TruncationReportingHandler extends BoundedRequestHandler {
             @Override
             public boolean messageComplete() {
                 if (getParser().isAtEOF()) {
--- a/router/src/main/java/burlarch/router/server/RequestBodyReader.java
+++ b/router/src/main/java/burlarch/router/server/RequestBodyReader.java
@@ -1,7 +1,7 @@
 package burlarch.router.server;
 
-import burlarch.node.http.RequestBodyBudget;
 import burlarch.node.http.RequestBodyBuffer;
+import burlarch.node.http.RequestMemoryBudget;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
@@ -44,9 +44,11 @@
     private CompletableFuture<Void> restDropped;
 
     private long droppedBytes;
+    /** Whether nothing is read any more. Written by one run after another, read by the thread that started the first. */
+    private volatile boolean ended;
 
     /** Creates a reader that has not started; {@link #run} starts it. */
-    public RequestBodyReader(Request request, int maxBytes, RequestBodyBudget budget, Listener listener) {
+    public RequestBodyReader(Request request, int maxBytes, RequestMemoryBudget budget, Listener listener) {
         this.request = request;
         this.maxBytes = maxBytes;
         this.buffer = new RequestBodyBuffer(budget, maxBytes, request.getLength());
@@ -63,6 +65,11 @@
         buffer.release();
     }
 
+    /** Whether the body has arrived, has failed or is too long, so that nothing is read any more. */
+    public boolean hasEnded() {
+        return ended;
+    }
+
     /** Reads the available bytes and asks Jetty to run it again when there are more. */
     @Override
     public void run() {
@@ -73,6 +80,7 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
+                ended = true;
                 onFailure(chunk.getFailure());
                 return;
             }
@@ -80,10 +88,12 @@
             boolean fits = restDropped == null ? store(chunk.getByteBuffer()) : drop(chunk.getByteBuffer());
             chunk.release();
             if (!fits) {
+                ended = true;
                 onTooLong();
                 return;
             }
             if (last) {
+                ended = true;
                 onLast();
                 return;
             }
