--- a/controller/src/main/java/burlarch/controller/api/ControlServer.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlServer.java
@@ -2,6 +2,7 @@
 
 import burlarch.node.http.BoundedHttpConnectionFactory;
 import burlarch.node.http.ConnectionBounds;
+import burlarch.node.http.ConnectionCountLimit;
 import burlarch.node.http.ConnectorShutdown;
 import burlarch.node.http.RequestMemoryBudget;
 import java.net.InetSocketAddress;
@@ -11,7 +12,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -104,7 +104,7 @@
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         connector.setAcceptQueueSize(BACKLOG);
         server.addConnector(connector);
-        server.addBean(new NetworkConnectionLimit(maxConnections, connector));
+        ConnectionCountLimit.apply(maxConnections, connector);
         server.setHandler(handler);
     }
 
--- a/router/src/main/java/burlarch/router/RouterProgram.java
+++ b/router/src/main/java/burlarch/router/RouterProgram.java
@@ -117,7 +117,12 @@
                 TimeUnit.NANOSECONDS.toMillis(settings.bounds().transitNanos()));
         RouterServer server = new RouterServer(
                 new RouterServerSettings(
-                        settings.listen().front(), settings.listen().readiness(), drainSchedule),
+                        settings.listen().front(),
+                        settings.listen().readiness(),
+                        drainSchedule,
+                        RouterServerSettings.CONNECT_TIMEOUT_MILLIS,
+                        RouterServerSettings.maxClientConnections(
+                                settings.limits().maxDescriptors())),
                 planner,
                 plannerLock,
                 IndexedRouteTable::of,
--- a/router/src/main/java/burlarch/router/RouterServer.java
+++ b/router/src/main/java/burlarch/router/RouterServer.java
@@ -7,6 +7,7 @@
 import burlarch.engine.EngineHttpClientFactory;
 import burlarch.node.http.BoundedHttpConnectionFactory;
 import burlarch.node.http.ConnectionBounds;
+import burlarch.node.http.ConnectionCountLimit;
 import burlarch.node.http.ConnectorShutdown;
 import burlarch.router.forwarding.CredentialValidity;
 import burlarch.router.forwarding.Exchange;
@@ -29,7 +30,6 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
-import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -48,8 +48,8 @@
     private static final int MIN_THREADS = 4;
     private static final long STOP_TIMEOUT_MILLIS = 200;
     private static final int ACCEPT_QUEUE_SIZE = 512;
-    /** Maximum number of client connections; further clients wait in the accept queue of the socket. */
-    private static final int MAX_CLIENT_CONNECTIONS = 2500;
+    /** Maximum number of connections for readiness checks, of which the platform sends one a second. */
+    private static final int MAX_READINESS_CONNECTIONS = 64;
 
     /** Memory of the heads of all client requests, which is several times the bytes that were received. */
     private static final long MAX_HEAD_BYTES = 16L << 20;
@@ -166,7 +166,8 @@
         readinessConnector = addConnector(
                 settings.readiness(), new BoundedHttpConnectionFactory(httpConfiguration, readinessBounds));
         handler.setReadinessConnector(readinessConnector);
-        server.addBean(new ConnectionLimit(MAX_CLIENT_CONNECTIONS, clientConnector));
+        ConnectionCountLimit.apply(settings.maxClientConnections(), clientConnector);
+        ConnectionCountLimit.apply(MAX_READINESS_CONNECTIONS, readinessConnector);
         server.setHandler(handler);
         server.setErrorHandler(new EmptyErrorHandler());
         server.setStopAtShutdown(false);
