--- a/router/src/main/java/burlarch/router/forwarding/Exchange.java
+++ b/router/src/main/java/burlarch/router/forwarding/Exchange.java
@@ -56,6 +56,8 @@
     private AttemptSequence attempts;
     /** Null until the request is accepted. */
     private Scheduler.Task deadlineTimer;
+    /** Null unless the body does not arrive at once. */
+    private Scheduler.Task bodyTimer;
 
     /** Creates an exchange that has not started. */
     public Exchange(ForwardingContext context, Request request, ClientResponse response) {
@@ -124,6 +126,20 @@
         }
         bodyReader = new RequestBodyReader(request, maxBytes, context.bodyBudget(), this);
         bodyReader.run();
+        if (!bodyReader.hasEnded()) {
+            bodyTimer = atDeadline(() -> serialize(() -> respond(408, null, ConnectionAfter.CLOSED)));
+        }
+    }
+
+    /**
+     * Schedules a task for the time at which the response is due. A body must arrive until then, however slowly and
+     * steadily the client sends it.
+     */
+    private Scheduler.Task atDeadline(Runnable task) {
+        long deadlineNanos = RequestReader.deadlineNanos(
+                context.routeTable(), request.getHttpURI(), request.getHeaders(), request.getHeadersNanoTime());
+        long remainingNanos = Math.max(0, deadlineNanos - System.nanoTime());
+        return context.scheduler().schedule(task, remainingNanos, TimeUnit.NANOSECONDS);
     }
 
     /** The rest of the body is read and dropped, so that the client is not cut off while it sends. */
@@ -132,10 +148,17 @@
         serialize(() -> {
             if (endOnce()) {
                 response.respondDuringRequest(503, RETRY_AFTER_REJECTION, restDropped);
+                limitDropTime(restDropped);
             }
         });
     }
 
+    private void limitDropTime(CompletableFuture<Void> restDropped) {
+        Scheduler.Task timer = atDeadline(() -> restDropped.completeExceptionally(
+                new TimeoutException("body of a rejected request not complete in time")));
+        restDropped.whenComplete((done, failure) -> timer.cancel());
+    }
+
     @Override
     public void onTooLarge() {
         serialize(() -> respond(413, null, ConnectionAfter.CLOSED));
@@ -158,6 +181,9 @@
         if (hasEnded()) {
             return;
         }
+        if (bodyTimer != null) {
+            bodyTimer.cancel();
+        }
         if (!response.isConnected()) {
             onClientDisconnected();
             return;
@@ -283,6 +309,9 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
+        if (bodyTimer != null) {
+            bodyTimer.cancel();
+        }
         if (bodyReader != null) {
             bodyReader.release();
         }
--- a/router/src/main/java/burlarch/router/server/RequestReader.java
+++ b/router/src/main/java/burlarch/router/server/RequestReader.java
@@ -13,6 +13,9 @@
 /** Reader of request heads: determines route, tenant, deadline and placement hints by the configuration in force. */
 public final class RequestReader {
     private static final long MAX_DEADLINE_MILLIS = 3_600_000;
+    /** Applies to a request that matches no route. */
+    private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final Result BAD_REQUEST = new Rejected(400);
     private static final Result UNAUTHORIZED = new Rejected(401);
@@ -50,8 +53,6 @@
             return UNAUTHORIZED;
         }
         int[] tokenUsage = HintHeaders.tokenUsage(fields.get("X-Token-Usage"));
-        long deadlineMillis =
-                Math.min(Headers.parseNumber(fields.get(Headers.DEADLINE), MAX_DEADLINE_MILLIS), route.timeoutMillis());
         return new Accepted(new RouteRequest(
                 id,
                 route,
@@ -62,7 +63,22 @@
                 HintHeaders.promptSegments(fields.get("X-Prefix-Hash")),
                 fields.contains(Headers.LAST_EVENT_ID),
                 receivedNanos,
-                receivedNanos + deadlineMillis * NANOS_PER_MILLI));
+                deadlineNanos(route, fields, receivedNanos)));
+    }
+
+    /**
+     * Returns when the response to a request is due, by {@link System#nanoTime}, also if the request can't be forwarded.
+     *
+     * @param receivedNanos when the head was received
+     */
+    public static long deadlineNanos(RouteTable table, HttpURI uri, HttpFields fields, long receivedNanos) {
+        return deadlineNanos(table.match(hostName(fields.get(HttpHeader.HOST)), uri.getPath()), fields, receivedNanos);
+    }
+
+    private static long deadlineNanos(Route route, HttpFields fields, long receivedNanos) {
+        long clientMillis = Headers.parseNumber(fields.get(Headers.DEADLINE), MAX_DEADLINE_MILLIS);
+        long routeMillis = route == null ? DEFAULT_TIMEOUT_MILLIS : route.timeoutMillis();
+        return receivedNanos + Math.min(clientMillis, routeMillis) * NANOS_PER_MILLI;
     }
 
     /** Returns the host name without the port; the route table matches names in lower case. */
