--- a/configuration/src/main/java/burlarch/configuration/ConfigurationJson.java
+++ b/configuration/src/main/java/burlarch/configuration/ConfigurationJson.java
@@ -1,6 +1,7 @@
 package burlarch.configuration;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
@@ -20,6 +21,11 @@
 final class ConfigurationJson {
     /** Bounds the recursion of the parser and the writer. */
     private static final int MAX_NESTING_DEPTH = 64;
+    /**
+     * Limit of the tokens of a document. A token occupies up to a hundred bytes of a tree, however short it is. The
+     * longest document has a token for every eight of its bytes.
+     */
+    private static final int MAX_TOKENS = 1 << 20;
 
     private static final StreamReadConstraints CONSTRAINTS =
             StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING_DEPTH).build();
@@ -40,6 +46,7 @@
     static ObjectNode readObject(byte[] json) throws InvalidConfigurationException {
         JsonNode tree;
         try {
+            checkTokenCount(json);
             tree = MAPPER.readTree(json);
         } catch (IOException e) {
             throw invalidConfiguration(e);
@@ -50,6 +57,20 @@
         throw new InvalidConfigurationException("", "not a JSON object");
     }
 
+    /** Counts tokens without storing them, as the tree would already occupy the memory that the limit protects. */
+    private static void checkTokenCount(byte[] json) throws IOException, InvalidConfigurationException {
+        if (json.length <= MAX_TOKENS) {
+            return;
+        }
+        try (JsonParser parser = MAPPER.createParser(json)) {
+            for (int tokens = 0; parser.nextToken() != null; tokens++) {
+                if (tokens == MAX_TOKENS) {
+                    throw new InvalidConfigurationException("", "has more than " + MAX_TOKENS + " tokens");
+                }
+            }
+        }
+    }
+
     /** Parses a document as an instance of a type. */
     static <T> T read(byte[] json, Class<T> type) throws InvalidConfigurationException {
         try {
--- a/configuration/src/main/java/burlarch/configuration/ConstraintValidator.java
+++ b/configuration/src/main/java/burlarch/configuration/ConstraintValidator.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
 import org.hibernate.validator.HibernateValidator;
 import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
 import org.hibernate.validator.spi.nodenameprovider.JavaBeanProperty;
@@ -21,19 +23,33 @@
  * validator, which is slow.
  */
 final class ConstraintValidator {
+    private static final int MAX_ITEMS_WITH_ALL_PROBLEMS = 10_000;
+
     private ConstraintValidator() {}
 
-    /** Returns every violated constraint, sorted by the path of the field and then by the reason. */
+    /**
+     * Returns every violated constraint, sorted by the path of the field and then by the reason. Of a configuration with
+     * very many items, each of which may violate several, it returns one.
+     */
     static List<ConfigurationProblem> check(ConfigurationConstraints configuration) {
+        Validator validator = itemCount(configuration) > MAX_ITEMS_WITH_ALL_PROBLEMS
+                ? ValidatorHolder.FAIL_FAST_VALIDATOR
+                : ValidatorHolder.VALIDATOR;
         List<ConfigurationProblem> problems = new ArrayList<>();
-        for (ConstraintViolation<ConfigurationConstraints> violation :
-                ValidatorHolder.VALIDATOR.validate(configuration)) {
+        for (ConstraintViolation<ConfigurationConstraints> violation : validator.validate(configuration)) {
             problems.add(new ConfigurationProblem(documentPath(violation.getPropertyPath()), violation.getMessage()));
         }
         problems.sort(Comparator.comparing(ConfigurationProblem::field).thenComparing(ConfigurationProblem::reason));
         return problems;
     }
 
+    private static int itemCount(ConfigurationConstraints configuration) {
+        return Stream.of(configuration.routes(), configuration.services(), configuration.tenants())
+                .filter(Objects::nonNull)
+                .mapToInt(List::size)
+                .sum();
+    }
+
     /** Returns the path without the nodes that stand for the element of a list, as in {@code [0].<list element>}. */
     private static String documentPath(Path path) {
         return path.toString().replaceAll("\\.?<[^>]*>", "");
@@ -41,14 +57,20 @@
 
     /** Creates the validator when this class is first used. */
     private static final class ValidatorHolder {
-        static final Validator VALIDATOR = Validation.byProvider(HibernateValidator.class)
-                .configure()
-                .ignoreXmlConfiguration()
-                .messageInterpolator(new ParameterMessageInterpolator())
-                .propertyNodeNameProvider(new JsonPropertyNames())
-                .traversableResolver(new AllFieldsResolver())
-                .buildValidatorFactory()
-                .getValidator();
+        static final Validator VALIDATOR = create(false);
+        static final Validator FAIL_FAST_VALIDATOR = create(true);
+
+        private static Validator create(boolean failFast) {
+            return Validation.byProvider(HibernateValidator.class)
+                    .configure()
+                    .failFast(failFast)
+                    .ignoreXmlConfiguration()
+                    .messageInterpolator(new ParameterMessageInterpolator())
+                    .propertyNodeNameProvider(new JsonPropertyNames())
+                    .traversableResolver(new AllFieldsResolver())
+                    .buildValidatorFactory()
+                    .getValidator();
+        }
     }
 
     /** Names a field in a path by its {@link JsonProperty}, which is its name in the document. */
--- a/controller/src/main/java/burlarch/controller/api/OperatorService.java
+++ b/controller/src/main/java/burlarch/controller/api/OperatorService.java
@@ -42,6 +42,10 @@
      */
     private static final long INITIAL_ACCEPTORS_TIMEOUT_NANOS = 4_000_000_000L;
 
+    /** A body up to this size is parsed at once. */
+    private static final int SMALL_BODY_BYTES = 512 << 10;
+
+    private final Object largeBodyLock = new Object();
     private final EventLoop loop;
     private final RegisterClient register;
     private final RouterPublisher publisher;
@@ -71,7 +75,7 @@
     public CompletableFuture<Void> putConfiguration(byte[] body, long ifMatch) {
         ConfigurationDocument document;
         try {
-            document = ConfigurationDocument.parse(body);
+            document = parse(body, ConfigurationDocument::parse);
         } catch (InvalidConfigurationException invalidConfiguration) {
             return CompletableFuture.failedFuture(rejection(invalidConfiguration));
         }
@@ -86,7 +90,7 @@
     public CompletableFuture<Void> patchConfiguration(byte[] body, long ifMatch) {
         ConfigurationPatch patch;
         try {
-            patch = ConfigurationPatch.parse(body);
+            patch = parse(body, ConfigurationPatch::parse);
         } catch (InvalidConfigurationException invalidConfiguration) {
             return CompletableFuture.failedFuture(rejection(invalidConfiguration));
         }
@@ -97,6 +101,21 @@
                 state -> StateChanges.patchConfiguration(state, ifMatch, patch, patch.digest()));
     }
 
+    /** Parser of a body. */
+    private interface BodyParser<T> {
+        T parse(byte[] body) throws InvalidConfigurationException;
+    }
+
+    /** Parses large bodies one after the other: while a body is parsed, it occupies many times its length. */
+    private <T> T parse(byte[] body, BodyParser<T> parser) throws InvalidConfigurationException {
+        if (body.length <= SMALL_BODY_BYTES) {
+            return parser.parse(body);
+        }
+        synchronized (largeBodyLock) {
+            return parser.parse(body);
+        }
+    }
+
     private static ControlException rejection(InvalidConfigurationException invalidConfiguration) {
         return new ControlException(ErrorKind.INVALID, invalidConfiguration.problems());
     }
