--- a/controller/src/main/java/burlarch/controller/api/InstanceAnnouncementParser.java
+++ b/controller/src/main/java/burlarch/controller/api/InstanceAnnouncementParser.java
@@ -13,6 +13,8 @@
 /** Parser of the body of an instance's heartbeat. Unknown fields are ignored. */
 final class InstanceAnnouncementParser {
     private static final int MAX_MODELS = 64;
+    /** Limit of the names of all models of one instance; thousands of instances are kept. */
+    private static final int MAX_MODEL_CHARACTERS = 2048;
 
     private InstanceAnnouncementParser() {}
 
@@ -67,10 +69,14 @@
             throw new ControlException(ErrorKind.INVALID, "models", "too many");
         }
         List<ServedModel> models = new ArrayList<>(list.size());
+        int characters = 0;
         for (JsonNode model : list) {
-            models.add(new ServedModel(
-                    ControlJson.requiredText(model, "name"),
-                    model.path("config_version").asLong()));
+            String name = ControlJson.requiredText(model, "name");
+            characters += name.length();
+            models.add(new ServedModel(name, model.path("config_version").asLong()));
+        }
+        if (characters > MAX_MODEL_CHARACTERS) {
+            throw new ControlException(ErrorKind.INVALID, "models", "names too long");
         }
         return List.copyOf(models);
     }
