--- a/configuration/src/main/java/burlarch/configuration/ConstraintValidator.java
+++ b/configuration/src/main/java/burlarch/configuration/ConstraintValidator.java
@@ -28,8 +28,8 @@
     private ConstraintValidator() {}
 
     /**
-     * Returns every violated constraint, sorted by the path of the field and then by the reason. Of a configuration with
-     * very many items, each of which may violate several, it returns one.
+     * Returns every violated constraint, sorted by the path of the field and then by the reason. Of a configuration
+     * with very many items, each of which may violate several, it returns one.
      */
     static List<ConfigurationProblem> check(ConfigurationConstraints configuration) {
         Validator validator = itemCount(configuration) > MAX_ITEMS_WITH_ALL_PROBLEMS
--- a/node/src/main/java/burlarch/node/http/ConnectionCountLimit.java
+++ b/node/src/main/java/burlarch/node/http/ConnectionCountLimit.java
@@ -14,12 +14,12 @@
 import org.eclipse.jetty.util.IO;
 
 /**
- * Limit of the connections of one connector, which makes room for new clients: while nearly as many connections are open
- * as are allowed, those that have been idle for longest are closed. A connection on which a request is being handled, or
- * that was used recently, is not closed. A connection beyond the limit is closed as soon as it is accepted.
+ * Limit of the connections of one connector, which makes room for new clients: while nearly as many connections are
+ * open as are allowed, those that have been idle for longest are closed. A connection on which a request is being
+ * handled, or that was used recently, is not closed. A connection beyond the limit is closed as soon as it is accepted.
  *
- * <p>The connector keeps accepting meanwhile. Jetty's own limits pause and resume the accepting; if that happens quickly,
- * a connector without acceptor threads loses its listening socket.
+ * <p>The connector keeps accepting meanwhile. Jetty's own limits pause and resume the accepting; if that happens
+ * quickly, a connector without acceptor threads loses its listening socket.
  *
  * <p>Called on Jetty's threads.
  */
--- a/node/src/main/java/burlarch/node/http/RequestHeadReservation.java
+++ b/node/src/main/java/burlarch/node/http/RequestHeadReservation.java
@@ -38,13 +38,19 @@
         String value = field.getValue();
         long bytes = LINE_OVERHEAD_BYTES + field.getName().length();
         if (value != null) {
-            bytes += value.length()
-                    + ELEMENT_OVERHEAD_BYTES
-                            * value.chars().filter(c -> c == ',').count();
+            bytes += value.length() + (long) ELEMENT_OVERHEAD_BYTES * commas(value);
         }
         return reserve(bytes);
     }
 
+    private static int commas(String value) {
+        int commas = 0;
+        for (int i = value.indexOf(','); i >= 0; i = value.indexOf(',', i + 1)) {
+            commas++;
+        }
+        return commas;
+    }
+
     private synchronized boolean reserve(long bytes) {
         if (released || !budget.tryReserve(bytes, reservedBytes + bytes)) {
             return false;
--- a/router/src/main/java/burlarch/router/server/RequestBodyReader.java
+++ b/router/src/main/java/burlarch/router/server/RequestBodyReader.java
@@ -44,7 +44,7 @@
     private CompletableFuture<Void> restDropped;
 
     private long droppedBytes;
-    /** Whether nothing is read any more. Written by one run after another, read by the thread that started the first. */
+    /** Whether nothing is read any more. Written by one run after another, read by the one that started the first. */
     private volatile boolean ended;
 
     /** Creates a reader that has not started; {@link #run} starts it. */
--- a/router/src/main/java/burlarch/router/server/RequestReader.java
+++ b/router/src/main/java/burlarch/router/server/RequestReader.java
@@ -67,7 +67,7 @@
     }
 
     /**
-     * Returns when the response to a request is due, by {@link System#nanoTime}, also if the request can't be forwarded.
+     * Returns when the response to a request is due, by {@link System#nanoTime}, also for one that can't be forwarded.
      *
      * @param receivedNanos when the head was received
      */
