--- a/node/src/main/java/burlarch/node/http/ConnectionCountLimit.java
+++ b/node/src/main/java/burlarch/node/http/ConnectionCountLimit.java
@@ -45,7 +45,7 @@
     private ConnectionCountLimit(int maxConnections, Connector connector) {
         this.connector = connector;
         this.maxConnections = maxConnections;
-        this.evictionThreshold = maxConnections - maxConnections / RESERVE_DIVISOR;
+        this.evictionThreshold = maxConnections - Math.max(1, maxConnections / RESERVE_DIVISOR);
     }
 
     /**
