--- a/controller/src/main/java/burlarch/controller/api/ControlServer.java
+++ b/controller/src/main/java/burlarch/controller/api/ControlServer.java
@@ -65,10 +65,7 @@
                 address,
                 maxDescriptors,
                 new ControlHandler(
-                        service,
-                        new RequestMemoryBudget(
-                                RequestBodyLimits.MAX_TOTAL_BYTES, RequestBodyLimits.BYTES_FOR_SMALL_BODIES),
-                        callTimeoutMillis));
+                        service, new RequestMemoryBudget(RequestBodyLimits.MAX_TOTAL_BYTES), callTimeoutMillis));
     }
 
     /** As {@link #redirecting(InetSocketAddress, Supplier, int)}, with many descriptors. */
--- a/controller/src/main/java/burlarch/controller/api/RequestBodyLimits.java
+++ b/controller/src/main/java/burlarch/controller/api/RequestBodyLimits.java
@@ -8,8 +8,6 @@
     static final int MAX_OTHER_BYTES = 64 << 10;
     /** Limit of the bodies of all open calls in total. */
     static final long MAX_TOTAL_BYTES = 16 << 20;
-    /** Part of it that long bodies leave to heartbeats and other small ones. */
-    static final long BYTES_FOR_SMALL_BODIES = 4 << 20;
 
     private RequestBodyLimits() {}
 }
