--- a/emulator/src/main/java/burlarch/emulator/demo/Main.java
+++ b/emulator/src/main/java/burlarch/emulator/demo/Main.java
@@ -96,7 +96,7 @@
     }
 
     /** Must be called before the first use of the HTTP client and server, which read these properties once. */
-    private static void configureHttp() {
+    static void configureHttp() {
         // Clients set the Host header, and the HTTP client must not retry a request on its own.
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
         System.setProperty("jdk.httpclient.disableRetryConnect", "true");
--- a/emulator/src/test/java/burlarch/emulator/demo/MisbehavingClientsFleet.java
+++ b/emulator/src/test/java/burlarch/emulator/demo/MisbehavingClientsFleet.java
@@ -46,6 +46,11 @@
     /** Sequence of the latest heartbeat. */
     private final AtomicLong heartbeats = new AtomicLong();
 
+    static {
+        // The first HTTP client of the virtual machine reads the properties, and other tests share that machine.
+        Main.configureHttp();
+    }
+
     private final LoopbackNetwork network = LoopbackNetwork.reserve();
     private final Path directory = Files.createTempDirectory("burlarch-clients");
     private final HttpClient http =
